Run an entry VM on the users' platform: whole path, first running version

Cause: the product spoke only its own interface. Change: a reducer for direct sending (internal/steer/direct), HTTP/1.1 with callers and servers (internal/wire/http1), mirrored tables of the store (internal/run/mirror), reports between entry VMs (internal/wire/gossip), and the translation in platform/.

--- /dev/null
+++ b/cmd/greengagetally-platform/main.go
@@ -0,0 +1,12 @@
+// Command greengagetally-platform runs an entry VM on the users' platform.
+package main
+
+import (
+	"os"
+
+	"github.com/greengagetally/greengagetally/platform"
+)
+
+func main() {
+	os.Exit(platform.Main(os.Stdout))
+}
--- /dev/null
+++ b/internal/run/direct/entry.go
@@ -0,0 +1,229 @@
+package direct
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/greengagetally/greengagetally/internal/clock/timer"
+	"github.com/greengagetally/greengagetally/internal/run/metrics"
+	"github.com/greengagetally/greengagetally/internal/run/mirror"
+	steer "github.com/greengagetally/greengagetally/internal/steer/direct"
+	"github.com/greengagetally/greengagetally/internal/steer/intent"
+	"github.com/greengagetally/greengagetally/internal/wire/gossip"
+	"github.com/greengagetally/greengagetally/internal/wire/http1"
+)
+
+const (
+	// tickEvery is the interval of the reducer's own time.
+	tickEvery = 100 * time.Millisecond
+	// pruneEvery is the interval in which idle connections are reviewed.
+	pruneEvery = 2 * time.Second
+	// gatherOrders and gatherLists are how long changes are collected before the
+	// next watch: orders must be in force within seconds, lists may come together.
+	gatherOrders = 50 * time.Millisecond
+	gatherLists  = 250 * time.Millisecond
+)
+
+// Process is one running entry VM.
+type Process struct {
+	settings   Settings
+	deployment Deployment
+	clock      timer.Service
+	log        *zap.Logger
+	metrics    *metrics.Metrics
+	self       Entry
+	started    int64
+
+	listener *http1.Listener
+	pool     *http1.Pool
+	bus      *gossip.Bus
+	mirrors  map[string]*mirror.Mirror
+	peers    *peers
+
+	intent   atomic.Pointer[intent.Intent]
+	stopping atomic.Bool
+	held     atomic.Int64
+
+	mu      sync.Mutex
+	state   steer.State
+	waiting map[steer.RequestID]chan steer.Effect
+	lastID  steer.RequestID
+
+	work sync.WaitGroup
+}
+
+// New returns a process that does not serve yet.
+func New(ctx context.Context, settings Settings, d Deployment, clock timer.Service, log *zap.Logger, m *metrics.Metrics) (*Process, error) {
+	p := &Process{
+		settings: settings, deployment: d, clock: clock, log: log, metrics: m,
+		self: Entry{
+			Name: settings.Steering.Name, Zone: settings.Steering.Zone, Region: settings.Steering.Region,
+			Requests: settings.Requests, Reports: netip.AddrPortFrom(settings.Requests.Addr(), settings.Reports),
+		},
+		started: clock.Wall().UnixNano(),
+		state:   steer.New(settings.Steering),
+		waiting: map[steer.RequestID]chan steer.Effect{},
+		pool:    http1.NewPool(d.Names()),
+	}
+	p.peers = newPeers(p.self)
+	p.listener = http1.NewListener(d.Names(), p, p.bounds)
+	p.mirrors = map[string]*mirror.Mirror{
+		TableOrders: mirror.New(d, clock, log, mirror.Options{
+			Prefix: d.Prefix(TableOrders), Gather: gatherOrders, Changed: p.ordersChanged,
+		}),
+		TableServers: mirror.New(d, clock, log, mirror.Options{
+			Prefix: d.Prefix(TableServers), Gather: gatherLists, KeepDeleted: settings.ReturnOfLapsed, Changed: p.serversChanged,
+		}),
+		TableEntries: mirror.New(d, clock, log, mirror.Options{
+			Prefix: d.Prefix(TableEntries), Gather: gatherLists, Changed: p.entriesChanged,
+		}),
+	}
+	bus, err := gossip.Listen(ctx, settings.Requests.Addr(), settings.Reports, settings.Tables, gossip.Handlers{
+		Receive: p.heard, Table: p.tableCopy,
+	})
+	if err != nil {
+		return nil, fmt.Errorf("open ports between entry VMs: %w", err)
+	}
+	p.bus = bus
+	p.setMembers(nil)
+
+	return p, nil
+}
+
+// Run serves callers on l until ctx ends.
+func (p *Process) Run(ctx context.Context, l net.Listener) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	failed := make(chan error, 2)
+	p.work.Go(func() { failed <- p.listener.Serve(ctx, l) })
+	p.work.Go(func() { failed <- p.bus.Run(ctx) })
+	for _, m := range p.mirrors {
+		p.work.Go(func() { m.Run(ctx) })
+	}
+	p.work.Go(func() { p.announce(ctx) })
+	p.work.Go(func() { p.tick(ctx) })
+	p.work.Go(func() { p.prune(ctx) })
+	p.work.Go(func() { p.report(ctx) })
+	select {
+	case <-ctx.Done():
+		return nil
+	case err := <-failed:
+		return err
+	}
+}
+
+// Ready reports whether callers should be sent here.
+func (p *Process) Ready() bool {
+	return !p.stopping.Load() && p.intent.Load() != nil && p.mirrors[TableServers].Loaded()
+}
+
+func (p *Process) bounds() http1.Bounds {
+	in := p.intent.Load()
+	if in == nil {
+		return http1.Bounds{}
+	}
+
+	return http1.Bounds(in.Limits)
+}
+
+func (p *Process) at() steer.At {
+	return steer.At(p.clock.Now())
+}
+
+// apply gives an event to the reducer and carries out its effects.
+func (p *Process) apply(ev steer.Event) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.reduce(ev)
+}
+
+// reduce applies an event; callers hold p.mu.
+func (p *Process) reduce(ev steer.Event) {
+	next, effects := steer.Reduce(p.state, ev)
+	p.state = next
+	for _, effect := range effects {
+		p.carryOut(effect)
+	}
+}
+
+// carryOut gives an effect to the exchange that it concerns. Callers hold p.mu.
+func (p *Process) carryOut(effect steer.Effect) {
+	switch e := effect.(type) {
+	case steer.Send:
+		p.deliver(e.ID, e)
+	case steer.Hold:
+		p.deliver(e.ID, e)
+	case steer.Refuse:
+		p.deliver(e.ID, e)
+	case steer.Relay:
+		p.deliver(e.ID, e)
+	case steer.Fail:
+		p.deliver(e.ID, e)
+	case steer.Probe:
+		p.work.Go(func() { p.probe(e) })
+	case steer.Believe:
+		p.log.Info("server state changed", zap.String("server", e.Server), zap.String("state", e.State), zap.String("cause", e.Cause))
+	}
+}
+
+func (p *Process) deliver(id steer.RequestID, effect steer.Effect) {
+	if ch, ok := p.waiting[id]; ok {
+		ch <- effect
+	}
+}
+
+func (p *Process) tick(ctx context.Context) {
+	for range p.clock.Subscribe(ctx, tickEvery) {
+		p.apply(steer.Tick{At: p.at()})
+	}
+}
+
+func (p *Process) prune(ctx context.Context) {
+	for range p.clock.Subscribe(ctx, pruneEvery) {
+		servers, _ := p.deployment.Servers(p.mirrors[TableServers].Snapshot().Items)
+		known := make(map[string]string, len(servers))
+		for _, s := range servers {
+			known[s.ID] = s.Address
+		}
+		p.pool.Prune(func(t http1.Target) bool { return known[t.Instance] == t.Address })
+	}
+}
+
+// probeTimeout bounds the wait for a server's health.
+const probeTimeout = time.Second
+
+func (p *Process) probe(e steer.Probe) {
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	health, err := p.pool.Probe(ctx, http1.Target{Instance: e.Server.ID, Address: e.Server.Address}, e.Path)
+	ended := steer.ProbeEnded{At: p.at(), Server: e.Server.ID, Cold: health.Cold}
+	ended.Healthy = err == nil && health.Healthy && health.Instance == e.Server.ID
+	p.apply(ended)
+}
+
+// announcePause is the time between two attempts to announce this entry VM.
+const announcePause = 300 * time.Millisecond
+
+func (p *Process) announce(ctx context.Context) {
+	for ctx.Err() == nil && !p.stopping.Load() {
+		err := p.deployment.Announce(ctx, p.self)
+		if ctx.Err() != nil || p.stopping.Load() {
+			return
+		}
+		p.log.Warn("announcement in the store was lost, writing it again", zap.Error(err))
+		timer := time.NewTimer(time.Duration(float64(announcePause) * (0.5 + rand.Float64()))) //nolint:gosec // Spreads retries.
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+		}
+	}
+}
--- /dev/null
+++ b/internal/run/direct/peers.go
@@ -0,0 +1,238 @@
+package direct
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/greengagetally/greengagetally/internal/run/mirror"
+	steer "github.com/greengagetally/greengagetally/internal/steer/direct"
+	"github.com/greengagetally/greengagetally/internal/wire/gossip"
+)
+
+const (
+	// reportEvery is the interval of reports in a fleet of up to reportFleet entry
+	// VMs; it grows with the fleet, so that the cost of a VM does not.
+	reportEvery = 100 * time.Millisecond
+	reportFleet = 16
+	// aliveFor is how long after its last report an entry VM is named to callers.
+	aliveFor = 2 * time.Second
+	// copyAfter is how long a peer's table may be newer than the own one, which
+	// the store's watch should bring, before it is copied.
+	copyAfter = 400 * time.Millisecond
+	// maxNamed bounds the entry VMs of one lookup.
+	maxNamed = 64
+)
+
+// peer is another entry VM as its reports describe it.
+type peer struct {
+	gossip.Message
+
+	address netip.AddrPort
+	heard   time.Duration
+}
+
+// peers are the other entry VMs: those that the store lists, and those that
+// report.
+type peers struct {
+	self Entry
+
+	mu     sync.Mutex
+	listed map[string]Entry
+	heard  map[string]peer
+	behind map[string]time.Duration
+	// copying holds the tables that are being copied from a peer.
+	copying map[string]bool
+}
+
+func newPeers(self Entry) *peers {
+	return &peers{
+		self: self, listed: map[string]Entry{}, heard: map[string]peer{},
+		behind: map[string]time.Duration{}, copying: map[string]bool{},
+	}
+}
+
+// setMembers takes over the store's list of entry VMs.
+func (p *Process) setMembers(entries []Entry) {
+	names := []string{p.self.Name}
+	ips := make([]netip.Addr, 0, len(entries))
+	p.peers.mu.Lock()
+	p.peers.listed = make(map[string]Entry, len(entries))
+	for _, e := range entries {
+		if e.Name == p.self.Name {
+			continue
+		}
+		p.peers.listed[e.Name] = e
+		names = append(names, e.Name)
+		ips = append(ips, e.Reports.Addr())
+	}
+	for name, other := range p.peers.heard {
+		if _, ok := p.peers.listed[name]; !ok {
+			names = append(names, name)
+			ips = append(ips, other.address.Addr())
+		}
+	}
+	p.peers.mu.Unlock()
+	slices.Sort(names)
+	p.bus.SetListed(ips)
+	p.apply(steer.EntriesKnown{At: p.at(), Names: names})
+}
+
+// heard takes a report of another entry VM.
+func (p *Process) heard(m gossip.Message, from netip.AddrPort) {
+	now := p.clock.Now()
+	p.peers.mu.Lock()
+	old, known := p.peers.heard[m.Name]
+	if known && old.Started > m.Started {
+		p.peers.mu.Unlock()
+
+		return
+	}
+	p.peers.heard[m.Name] = peer{Message: m, address: from, heard: now}
+	p.peers.mu.Unlock()
+	if !known || old.Started != m.Started {
+		p.log.Info("entry VM reports", zap.String("entry", m.Name), zap.Stringer("address", from))
+	}
+	p.apply(steer.PeerReported{At: steer.At(now), Peer: m.Name, Report: steer.Report{
+		InFlight: m.InFlight, Demand: m.Demand, Region: m.Region,
+	}})
+	for table, revision := range m.Revisions {
+		p.compareTable(now, table, revision, from.Addr())
+	}
+}
+
+// compareTable copies a table from a peer whose copy has been newer for a while.
+func (p *Process) compareTable(now time.Duration, table string, revision uint64, from netip.Addr) {
+	m, ok := p.mirrors[table]
+	if !ok {
+		return
+	}
+	p.peers.mu.Lock()
+	defer p.peers.mu.Unlock()
+	if m.Loaded() && m.Snapshot().Revision >= revision {
+		delete(p.peers.behind, table)
+
+		return
+	}
+	since, ok := p.peers.behind[table]
+	if !ok {
+		p.peers.behind[table] = now
+
+		return
+	}
+	if now-since < copyAfter || p.peers.copying[table] {
+		return
+	}
+	p.peers.copying[table] = true
+	p.work.Go(func() { p.copyTable(table, from) })
+}
+
+func (p *Process) copyTable(table string, from netip.Addr) {
+	var s mirror.Snapshot
+	err := p.bus.Fetch(context.Background(), from, table, &s)
+	adopted := err == nil && p.mirrors[table].Adopt(s)
+	p.log.Info("table of an entry VM was read", zap.String("table", table), zap.Stringer("from", from),
+		zap.Bool("newer", adopted), zap.Uint64("revision", s.Revision), zap.Error(err))
+	p.peers.mu.Lock()
+	defer p.peers.mu.Unlock()
+	p.peers.copying[table] = false
+	delete(p.peers.behind, table)
+}
+
+// report tells the other entry VMs what this one does until ctx ends.
+func (p *Process) report(ctx context.Context) {
+	last := time.Duration(0)
+	for now := range p.clock.Subscribe(ctx, reportEvery) {
+		targets := p.peers.addresses()
+		if now-last < reportEvery*time.Duration(len(targets)/reportFleet) {
+			continue
+		}
+		last = now
+		if err := p.bus.Send(p.message(), targets); err != nil && ctx.Err() == nil {
+			p.log.Debug("a report was not sent", zap.Error(err))
+		}
+	}
+}
+
+func (p *Process) message() gossip.Message {
+	p.mu.Lock()
+	report := p.state.Report()
+	p.mu.Unlock()
+	revisions := make(map[string]uint64, len(p.mirrors))
+	for table, m := range p.mirrors {
+		if m.Loaded() {
+			revisions[table] = m.Snapshot().Revision
+		}
+	}
+
+	return gossip.Message{
+		Name: p.self.Name, Started: p.started, Ready: p.Ready(), Zone: p.self.Zone, Region: p.self.Region,
+		Requests: p.self.Requests.String(), Revisions: revisions, InFlight: report.InFlight, Demand: report.Demand,
+	}
+}
+
+// addresses returns where reports are sent.
+func (s *peers) addresses() []netip.AddrPort {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make([]netip.AddrPort, 0, len(s.listed))
+	for _, e := range s.listed {
+		out = append(out, e.Reports)
+	}
+	for name, other := range s.heard {
+		if _, ok := s.listed[name]; !ok {
+			out = append(out, other.address)
+		}
+	}
+
+	return out
+}
+
+// Named is what a lookup returns.
+type Named struct {
+	Addresses []string
+	TTL       time.Duration
+}
+
+// Lookup returns the entry VMs for a caller in an availability zone: those of
+// its zone when there are several, else those of its region, else all.
+func (p *Process) Lookup(zone, region string) Named {
+	now := p.clock.Now()
+	var inZone, inRegion, all []string
+	add := func(e Entry) {
+		address := e.Requests.String()
+		if e.Zone == zone {
+			inZone = append(inZone, address)
+		}
+		if e.Region == region {
+			inRegion = append(inRegion, address)
+		}
+		all = append(all, address)
+	}
+	if p.Ready() {
+		add(p.self)
+	}
+	p.peers.mu.Lock()
+	for _, other := range p.peers.heard {
+		requests, err := netip.ParseAddrPort(other.Requests)
+		if err != nil || !other.Ready || now-other.heard > aliveFor {
+			continue
+		}
+		add(Entry{Zone: other.Zone, Region: other.Region, Requests: requests})
+	}
+	p.peers.mu.Unlock()
+	chosen := all
+	switch {
+	case len(inZone) > 1:
+		chosen = inZone
+	case len(inRegion) > 0:
+		chosen = inRegion
+	}
+	slices.Sort(chosen)
+
+	return Named{Addresses: chosen[:min(len(chosen), maxNamed)], TTL: p.settings.LookupTTL}
+}
--- /dev/null
+++ b/internal/run/direct/settings.go
@@ -0,0 +1,80 @@
+// Package direct runs an entry VM that sends callers' requests straight to the
+// backend servers of all regions. It connects the reducer of the same name with
+// the listeners, the platform's store and the other entry VMs.
+package direct
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	steer "github.com/greengagetally/greengagetally/internal/steer/direct"
+	"github.com/greengagetally/greengagetally/internal/steer/intent"
+	"github.com/greengagetally/greengagetally/internal/run/mirror"
+	"github.com/greengagetally/greengagetally/internal/value/set"
+	"github.com/greengagetally/greengagetally/internal/wire/http1"
+)
+
+// Settings are what an entry VM learns at its start.
+type Settings struct {
+	Steering steer.Settings
+	// Requests is the address for callers' requests.
+	Requests netip.AddrPort
+	// Reports and Tables are the ports between entry VMs.
+	Reports, Tables uint16
+	// LookupTTL is how long callers may keep a lookup's answer.
+	LookupTTL time.Duration
+	// StopWithin is the time from a stop request to the end of the process.
+	StopWithin time.Duration
+	// ReturnOfLapsed is how long after an outage of the store a server whose entry
+	// has lapsed may take to be listed again.
+	ReturnOfLapsed time.Duration
+	// HeldBytes bounds the request bodies held at once.
+	HeldBytes int64
+}
+
+// Entry is an entry VM as it is announced in the store.
+type Entry struct {
+	Name     string
+	Zone     string
+	Region   string
+	Requests netip.AddrPort
+	Reports  netip.AddrPort
+}
+
+// Orders are what operators have written.
+type Orders struct {
+	// Intent is nil before the first configuration.
+	Intent    *intent.Intent
+	Evacuated set.Set[string]
+}
+
+// Table names of the store's prefixes that are mirrored.
+const (
+	TableOrders  = "orders"
+	TableServers = "servers"
+	TableEntries = "entries"
+)
+
+// Deployment is what the entry VM needs of the place where it runs.
+type Deployment interface {
+	mirror.Source
+
+	// Prefix returns the store's prefix of a table.
+	Prefix(table string) string
+	// Orders decodes the operators' table; a part that cannot be read is reported
+	// and leaves the rest valid.
+	Orders(items map[string]mirror.Item) (Orders, error)
+	// Servers decodes the list of backend servers, without those that cannot be
+	// used; the error names them.
+	Servers(items map[string]mirror.Item) ([]steer.Server, error)
+	// Entries decodes the list of entry VMs.
+	Entries(items map[string]mirror.Item) ([]Entry, error)
+	// Announce writes the entry VM's own item under a lease and renews it until
+	// ctx ends or the item is lost, which is an error.
+	Announce(ctx context.Context, e Entry) error
+	// Withdraw removes the entry VM's own item.
+	Withdraw(ctx context.Context, e Entry) error
+	// Names returns the header names in use.
+	Names() http1.Names
+}
--- a/internal/run/metrics/metrics.go
+++ b/internal/run/metrics/metrics.go
@@ -7,8 +7,6 @@
 	"time"
 
 	gometrics "github.com/rcrowley/go-metrics"
-
-	"github.com/greengagetally/greengagetally/internal/steer/event"
 )
 
 // sampleSize and sampleAlpha make latency quantiles follow the last minutes.
@@ -40,9 +38,10 @@
 	m.histogram("latency-us/" + service).Update(took.Microseconds())
 }
 
-// Refused counts a request that the system answered itself.
-func (m *Metrics) Refused(outcome event.Outcome, reason event.Reason) {
-	m.counter("refused/" + string(outcome) + "/" + string(reason)).Inc(1)
+// Refused counts a request that the system answered itself, by outcome and
+// reason.
+func (m *Metrics) Refused(outcome, reason string) {
+	m.counter("refused/" + outcome + "/" + reason).Inc(1)
 }
 
 // Violated counts a failed check inside the program.
--- /dev/null
+++ b/internal/steer/direct/cold.go
@@ -0,0 +1,59 @@
+package direct
+
+import (
+	"slices"
+	"time"
+
+	"github.com/greengagetally/greengagetally/internal/value/rendezvous"
+)
+
+// coldShare is the part of a cold server's rate that the entry VMs use together;
+// the rest covers entry VMs that disagree about who lives.
+const coldShare = 0.7
+
+// coldSpacing keeps two requests out of one second although timers are late.
+const coldSpacing = 1.05
+
+// coldRate returns how many requests a second this entry may send to a cold
+// server. The server's rate is divided among all entry VMs known, and what is
+// left goes to those that the server's name ranks first, so that all agree.
+func coldRate(self, serverID string, entries []string, perSecond float64) float64 {
+	whole := int(coldShare * perSecond)
+	n := max(len(entries), 1)
+	share, left := whole/n, whole%n
+	if left > 0 && slices.Index(ranked(serverID, entries), self) < left && slices.Contains(entries, self) {
+		share++
+	}
+
+	return float64(share)
+}
+
+func ranked(key string, names []string) []string {
+	weights := make(map[string]uint64, len(names))
+	for _, name := range names {
+		weights[name] = rendezvous.Weight(key, name)
+	}
+	out := slices.Clone(names)
+	slices.SortFunc(out, func(a, b string) int {
+		switch {
+		case weights[a] > weights[b]:
+			return -1
+		case weights[a] < weights[b]:
+			return 1
+		}
+
+		return 0
+	})
+
+	return out
+}
+
+// paceCold notes a request to a cold server and returns when the next one may
+// follow.
+func paceCold(now time.Duration, rate float64) time.Duration {
+	if rate <= 0 {
+		return now + time.Second
+	}
+
+	return now + time.Duration(coldSpacing*float64(time.Second)/rate)
+}
--- /dev/null
+++ b/internal/steer/direct/direct.go
@@ -0,0 +1,292 @@
+package direct
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/greengagetally/greengagetally/internal/steer/intent"
+	"github.com/greengagetally/greengagetally/internal/value/ewma"
+	"github.com/greengagetally/greengagetally/internal/value/rendezvous"
+	"github.com/greengagetally/greengagetally/internal/value/set"
+)
+
+// Settings are what an entry VM knows from its start.
+type Settings struct {
+	// Name is the entry VM's own name.
+	Name   string
+	Zone   string
+	Region string
+	Seed   uint64
+	// RetryRatio and RetryAllowance bound repeated attempts of all entry VMs in
+	// RetryWindow: ratio x requests + allowance.
+	RetryRatio     float64
+	RetryAllowance float64
+	RetryWindow    time.Duration
+	// WarmupFactor and WarmupAllowance bound the requests of all entry VMs to a
+	// cold server in a second: its rate x factor + allowance.
+	WarmupFactor    float64
+	WarmupAllowance float64
+}
+
+const (
+	// reportLife is how long another entry's report counts; the reports come
+	// several times a second.
+	reportLife = 1500 * time.Millisecond
+	// answerMargin is the time kept for a final answer to reach the caller.
+	answerMargin = 30 * time.Millisecond
+	// workAlpha weighs one answer in the usual work time of a route.
+	workAlpha = 0.02
+	// goldenRatio is the golden ratio; its multiples spread points evenly.
+	goldenRatio = 0.6180339887498949
+	// worthwhile is the least time for which another attempt is worth making,
+	// relative to the usual work of the route.
+	worthwhile = 0.8
+)
+
+// State is the state of the reducer; only the newest one may be used.
+type State struct {
+	*state
+}
+
+type peerReport struct {
+	Report
+
+	at time.Duration
+}
+
+type state struct {
+	settings Settings
+	random   *rand.Rand
+	now      time.Duration
+	ticked   time.Duration
+
+	intent    *intent.Intent
+	servers   map[string]*server
+	byKey     map[uint32]*server
+	byService map[string][]*server
+	evacuated set.Set[string]
+	entries   []string
+	peers     map[string]peerReport
+
+	requests  map[RequestID]*request
+	queues    map[string]*queue
+	budgets   map[string]*budget
+	demands   map[string]*demand
+	spreads   map[string]*spread
+	works     map[string]ewma.Mean
+	distances map[string]time.Duration
+	sequence  float64
+
+	out []Effect
+}
+
+// New returns the state of an entry VM that knows nothing yet.
+func New(settings Settings) State {
+	return State{&state{
+		settings:  settings,
+		random:    rand.New(rand.NewPCG(settings.Seed, settings.Seed^0x9e3779b97f4a7c15)), //nolint:gosec // Steering needs no secret numbers.
+		servers:   map[string]*server{},
+		byKey:     map[uint32]*server{},
+		byService: map[string][]*server{},
+		peers:     map[string]peerReport{},
+		requests:  map[RequestID]*request{},
+		queues:    map[string]*queue{},
+		budgets:   map[string]*budget{},
+		demands:   map[string]*demand{},
+		spreads:   map[string]*spread{},
+		works:     map[string]ewma.Mean{},
+		distances: map[string]time.Duration{},
+	}}
+}
+
+// Reduce takes one event and returns the newest state and what must be done.
+func Reduce(s State, ev Event) (State, []Effect) {
+	s.out = nil
+	s.now = max(s.now, ev.when())
+	switch e := ev.(type) {
+	case RequestArrived:
+		s.arrive(e)
+	case AttemptEnded:
+		s.attemptEnded(e)
+	case HoldExpired:
+		s.holdExpired(e.ID)
+	case CallerLeft:
+		s.callerLeft(e.ID)
+	case PeerReported:
+		s.peerReported(e)
+	case ProbeEnded:
+		s.probeEnded(e)
+	case IntentInForce:
+		if s.intent == nil || e.Intent.Version > s.intent.Version {
+			s.intent = e.Intent
+		}
+	case ServersKnown:
+		s.serversKnown(e.Servers)
+	case ZonesEvacuated:
+		s.evacuated = e.Zones
+	case EntriesKnown:
+		s.entries = e.Names
+	case Tick:
+		s.tick()
+	}
+
+	return s, s.out
+}
+
+func (s *state) emit(e Effect) {
+	s.out = append(s.out, e)
+}
+
+// arrive decides about a new request.
+func (s *state) arrive(e RequestArrived) {
+	r := &request{
+		id: e.ID, route: e.Route, arrived: s.now, until: e.Until, fingerprint: e.Fingerprint,
+		service: e.Route.Pick(s.random.Float64()),
+	}
+	if e.Route.Timeout > 0 {
+		r.until = min(r.until, s.now+e.Route.Timeout)
+	}
+	s.sequence += goldenRatio
+	s.sequence -= float64(int(s.sequence))
+	r.point = s.sequence
+	r.objectHash = s.random.Uint64()
+	if e.Route.Sticky && e.Object != "" {
+		r.objectHash = rendezvous.Mix(xxhash.Sum64String(e.Object) ^ xxhash.Sum64String(e.Route.Host))
+		r.point = float64(rendezvous.Mix(r.objectHash)>>11) / (1 << 53)
+	}
+	s.requests[r.id] = r
+	s.budget(r.service).first(s.now)
+	s.demand(r.service).work += s.work(r)
+	s.place(r)
+}
+
+// place sends a request, lets it wait or refuses it.
+func (s *state) place(r *request) {
+	chosen, reachable := s.choose(r)
+	if chosen != nil {
+		s.send(r, chosen)
+
+		return
+	}
+	until := holdUntil(r)
+	if !reachable && len(s.byService[r.service]) == 0 || s.now >= until {
+		s.refuse(r, s.refusal(r, reachable))
+
+		return
+	}
+	s.queue(r.service).push(r)
+	s.emit(Hold{ID: r.id, Until: until})
+}
+
+func (s *state) refusal(r *request, reachable bool) Reason {
+	switch {
+	case r.shed:
+		return ReasonServerShed
+	case !reachable:
+		return ReasonNoServer
+	}
+
+	return ReasonNoCapacity
+}
+
+func (s *state) send(r *request, to *server) {
+	if to.cold(s.now) {
+		service := s.intent.Services[r.service]
+		whole := service.WarmupPerSecond*s.settings.WarmupFactor + s.settings.WarmupAllowance
+		rate := coldRate(s.settings.Name, to.ID, s.entries, whole)
+		to.nextCold = paceCold(s.now, rate)
+	}
+	s.emit(Send{ID: r.id, Server: to.Server, Until: r.until, Occupied: to.occupied(), Limit: to.limit()})
+	to.own++
+	r.at, r.sentAt = to, s.now
+	r.servers = append(r.servers, to.ID)
+}
+
+func (s *state) refuse(r *request, reason Reason) {
+	s.forget(r)
+	after := returnBase + time.Duration(s.random.Float64()*float64(returnSpread))
+	s.emit(Refuse{ID: r.id, Reason: reason, RetryAfter: after})
+}
+
+func (s *state) forget(r *request) {
+	if r.queued {
+		s.queue(r.service).remove(r)
+	}
+	delete(s.requests, r.id)
+}
+
+func (s *state) holdExpired(id RequestID) {
+	r, ok := s.requests[id]
+	if !ok || !r.queued {
+		return
+	}
+	s.queue(r.service).remove(r)
+	if chosen, reachable := s.choose(r); chosen != nil {
+		s.send(r, chosen)
+	} else {
+		s.giveUp(r, s.refusal(r, reachable))
+	}
+}
+
+// callerLeft forgets a request; the runtime ends its attempt itself.
+func (s *state) callerLeft(id RequestID) {
+	r, ok := s.requests[id]
+	if !ok {
+		return
+	}
+	s.release(r)
+	s.forget(r)
+	s.dispatch(r.service)
+}
+
+// release frees the place of a request at its server.
+func (s *state) release(r *request) {
+	if r.at != nil {
+		r.at.own--
+		r.at = nil
+	}
+}
+
+// dispatch sends waiting requests as far as there is room.
+func (s *state) dispatch(service string) {
+	q, ok := s.queues[service]
+	if !ok {
+		return
+	}
+	for i := 0; i < len(q.waiting); {
+		r := q.waiting[i]
+		chosen, _ := s.choose(r)
+		if chosen == nil {
+			i++
+
+			continue
+		}
+		q.remove(r)
+		s.send(r, chosen)
+	}
+}
+
+func (s *state) queue(service string) *queue {
+	return entryOf(s.queues, service, func() *queue { return &queue{} })
+}
+
+func (s *state) demand(service string) *demand {
+	return entryOf(s.demands, service, func() *demand { return &demand{} })
+}
+
+func (s *state) budget(service string) *budget {
+	return entryOf(s.budgets, service, func() *budget { return &budget{width: s.settings.RetryWindow / budgetCells} })
+}
+
+// entryOf returns the value at a key, made on first use.
+func entryOf[V any](m map[string]*V, key string, build func() *V) *V {
+	v, ok := m[key]
+	if !ok {
+		v = build()
+		m[key] = v
+	}
+
+	return v
+}
--- /dev/null
+++ b/internal/steer/direct/server.go
@@ -0,0 +1,123 @@
+package direct
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/greengagetally/greengagetally/internal/value/ewma"
+)
+
+const (
+	// serverQueue is the number of requests above the slots that may wait at a
+	// server; one hides the time between an answer and the next request.
+	serverQueue = 1
+	// firstBackoff and longestBackoff bound how long a failing server is avoided.
+	firstBackoff   = 400 * time.Millisecond
+	longestBackoff = 4 * time.Second
+	// shedPause is how long a server that refused a request is given no other:
+	// about the time in which it ends one of its requests.
+	shedPause = 60 * time.Millisecond
+	// loadFresh is how long a server's report about its speed is believed; it
+	// changes many times a second.
+	loadFresh = 400 * time.Millisecond
+	// slowAlpha weighs one observation of a server's speed: about the last eight.
+	slowAlpha = 0.2
+	// greyFailures is the share of failures above which a server is avoided, and
+	// greySample the observations that it takes.
+	greyFailures = 0.3
+	greySample   = 5
+	// greyAlpha weighs one observation of a server's failures.
+	greyAlpha = 0.15
+)
+
+// Key is the short name of a server in reports between entry VMs.
+func Key(serverID string) uint32 {
+	return uint32(xxhash.Sum64String(serverID)) //nolint:gosec // A hash is cut on purpose.
+}
+
+// server is a backend server as this entry sees it.
+type server struct {
+	Server
+
+	key  uint32
+	hash uint64
+	// own and others count the requests in flight from this entry and from the
+	// other entry VMs.
+	own, others int
+	// slowdown is the server's last report and when it came.
+	slowdown   float64
+	slowdownAt time.Duration
+	waiting    int
+	// pace compares the time of answers with the usual one of their routes.
+	pace     ewma.Mean
+	failures ewma.Mean
+	// avoid is until when the server gets no request; strikes counts the failures
+	// in a row that led there.
+	avoid   time.Duration
+	strikes int
+	// doubtful servers get no request before a probe has found them healthy.
+	doubtful bool
+	probing  bool
+	probeAt  time.Duration
+	// coldUntil is when the server is warm; nextCold is when this entry may send
+	// it another request while it is cold.
+	coldUntil time.Duration
+	nextCold  time.Duration
+}
+
+func newServer(now time.Duration, s Server) *server {
+	return &server{
+		Server: s, key: Key(s.ID), hash: xxhash.Sum64String(s.ID),
+		slowdown: 1, coldUntil: now + s.Cold,
+	}
+}
+
+func (s *server) occupied() int {
+	return s.own + s.others
+}
+
+func (s *server) limit() int {
+	return s.Slots + serverQueue
+}
+
+func (s *server) cold(now time.Duration) bool {
+	return now < s.coldUntil
+}
+
+// usable reports whether the server may get a request now.
+func (s *server) usable(now time.Duration) bool {
+	return !s.Leaving && !s.doubtful && now >= s.avoid && (!s.cold(now) || now >= s.nextCold)
+}
+
+// speed returns how much longer than usual work takes at the server now.
+func (s *server) speed(now time.Duration) float64 {
+	slow := 1.0
+	if s.pace.Count() > 2 {
+		slow = max(s.pace.Value(), 0.5)
+	}
+	if now-s.slowdownAt < loadFresh {
+		slow = max(slow*0.5, s.slowdown)
+	}
+
+	return slow
+}
+
+// fail records an attempt that got no answer.
+func (s *server) fail(now time.Duration) {
+	s.strikes++
+	backoff := min(firstBackoff<<min(s.strikes-1, 8), longestBackoff)
+	s.avoid = max(s.avoid, now+backoff)
+	s.failures = s.failures.With(1, greyAlpha)
+}
+
+// succeed records an answer.
+func (s *server) succeed() {
+	s.strikes = 0
+	s.failures = s.failures.With(0, greyAlpha)
+}
+
+// grey reports whether the server fails too many of its requests.
+func (s *server) grey() bool {
+	return s.failures.Count() >= greySample && s.failures.Value() > greyFailures
+}
--- /dev/null
+++ b/internal/steer/direct/tick.go
@@ -0,0 +1,162 @@
+package direct
+
+import (
+	"time"
+)
+
+const (
+	// probeEvery is the least time between two probes of one server by one entry.
+	probeEvery = 700 * time.Millisecond
+)
+
+// serversKnown takes over the list of servers and keeps what was learned.
+func (s *state) serversKnown(list []Server) {
+	known := make(map[string]*server, len(list))
+	s.byKey = make(map[uint32]*server, len(list))
+	s.byService = map[string][]*server{}
+	for _, next := range list {
+		old, ok := s.servers[next.ID]
+		if !ok || old.Started != next.Started || old.Address != next.Address {
+			fresh := newServer(s.now, next)
+			if ok {
+				fresh.own = 0
+			}
+			old = fresh
+		} else {
+			leaving := old.Leaving || next.Leaving
+			old.Server = next
+			old.Leaving = leaving
+			old.coldUntil = max(old.coldUntil, s.now+next.Cold)
+		}
+		known[next.ID] = old
+		s.byKey[old.key] = old
+		s.byService[next.Service] = append(s.byService[next.Service], old)
+	}
+	s.servers = known
+	s.countOthers()
+	for service := range s.queues {
+		s.dispatch(service)
+	}
+}
+
+// peerReported replaces what is known of another entry VM's requests.
+func (s *state) peerReported(e PeerReported) {
+	if old, ok := s.peers[e.Peer]; ok {
+		s.addOthers(old.Report, -1)
+	}
+	s.peers[e.Peer] = peerReport{Report: e.Report, at: s.now}
+	s.addOthers(e.Report, 1)
+	for service, q := range s.queues {
+		if len(q.waiting) > 0 {
+			s.dispatch(service)
+		}
+	}
+}
+
+func (s *state) addOthers(r Report, sign int) {
+	for key, n := range r.InFlight {
+		if c, ok := s.byKey[key]; ok {
+			c.others += sign * n
+		}
+	}
+}
+
+func (s *state) countOthers() {
+	for _, c := range s.servers {
+		c.others = 0
+	}
+	for _, p := range s.peers {
+		s.addOthers(p.Report, 1)
+	}
+}
+
+// tick forgets silent peers, moves the division among the regions and asks
+// doubtful servers for their health.
+func (s *state) tick() {
+	for name, p := range s.peers {
+		if s.now-p.at > reportLife {
+			s.addOthers(p.Report, -1)
+			delete(s.peers, name)
+		}
+	}
+	elapsed := s.now - s.ticked
+	s.ticked = s.now
+	if elapsed <= 0 {
+		return
+	}
+	s.moveSpreads(elapsed)
+	s.probeDoubtful()
+	for service := range s.queues {
+		s.dispatch(service)
+	}
+}
+
+func (s *state) moveSpreads(elapsed time.Duration) {
+	for service := range s.byService {
+		d := s.demand(service)
+		d.slots = d.slots.With(float64(d.work)/float64(elapsed), demandAlpha)
+		d.work = 0
+		slots := map[string]float64{}
+		for _, c := range s.byService[service] {
+			if !c.Leaving && !s.evacuated.Has(c.Zone) && (!c.doubtful || c.strikes < 2) {
+				slots[c.Region] += float64(c.Slots)
+			}
+		}
+		demands := map[string]float64{s.settings.Region: d.slots.Value()}
+		for _, p := range s.peers {
+			demands[p.Region] += p.Demand[service]
+		}
+		goal := divide(s.settings.Region, demands, slots)
+		if goal == nil {
+			continue
+		}
+		sp := entryOf(s.spreads, service, func() *spread { return &spread{} })
+		sp.towards(goal, spreadPerSecond*elapsed.Seconds())
+	}
+}
+
+func (s *state) probeDoubtful() {
+	if s.intent == nil {
+		return
+	}
+	for _, c := range s.servers {
+		if !c.doubtful || c.Leaving || c.probing || s.now < c.avoid || s.now < c.probeAt {
+			continue
+		}
+		c.probing, c.probeAt = true, s.now+probeEvery
+		s.emit(Probe{Server: c.Server, Path: s.intent.Services[c.Service].HealthPath})
+	}
+}
+
+func (s *state) probeEnded(e ProbeEnded) {
+	c, ok := s.servers[e.Server]
+	if !ok {
+		return
+	}
+	c.probing = false
+	if !e.Healthy {
+		c.fail(s.now)
+
+		return
+	}
+	c.doubtful = false
+	c.strikes = 0
+	s.learnCold(c, e.Cold)
+	s.emit(Believe{Server: c.ID, State: "usable", Cause: "its health check passed"})
+	s.dispatch(c.Service)
+}
+
+// Report returns what the other entry VMs should know.
+func (s State) Report() Report {
+	r := Report{InFlight: map[uint32]int{}, Demand: map[string]float64{}, Region: s.settings.Region}
+	for _, c := range s.servers {
+		if c.own > 0 {
+			r.InFlight[c.key] = c.own
+		}
+	}
+	for service, d := range s.demands {
+		r.Demand[service] = d.slots.Value()
+	}
+
+	return r
+}
--- a/internal/wire/caller/request.go
+++ b/internal/wire/caller/request.go
@@ -35,7 +35,7 @@
 	// Served counts a request that ended, with its duration.
 	Served(service string, took time.Duration)
 	// Refused counts a request that the system answered itself.
-	Refused(outcome event.Outcome, reason event.Reason)
+	Refused(outcome, reason string)
 }
 
 // Options are what the request listeners are built from.
--- a/internal/wire/caller/steering_test.go
+++ b/internal/wire/caller/steering_test.go
@@ -141,7 +141,7 @@
 type noMetrics struct{}
 
 func (noMetrics) Served(string, time.Duration)        {}
-func (noMetrics) Refused(event.Outcome, event.Reason) {}
+func (noMetrics) Refused(string, string) {}
 
 // entryVM is the listeners of one entry VM with a scripted reducer.
 type entryVM struct {
--- /dev/null
+++ b/internal/wire/gossip/gossip.go
@@ -0,0 +1,199 @@
+// Package gossip carries short reports between entry VMs in datagrams, and
+// copies of tables over TCP. Only addresses that the deployment lists as entry
+// VMs are heard.
+package gossip
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+const (
+	// maxDatagram keeps a report in one unfragmented packet where it fits; reports
+	// of large fleets may take several.
+	maxDatagram = 8 << 10
+	// copyTimeout bounds the transfer of a table.
+	copyTimeout = 1500 * time.Millisecond
+)
+
+// Message is what an entry VM tells the others several times a second.
+type Message struct {
+	Name string `cbor:"1,keyasint"`
+	// Started is the start of the process in Unix nanoseconds; it tells two starts
+	// on one VM apart.
+	Started int64  `cbor:"2,keyasint"`
+	Ready   bool   `cbor:"3,keyasint"`
+	Zone    string `cbor:"4,keyasint"`
+	Region  string `cbor:"5,keyasint"`
+	// Requests is the address for callers' requests.
+	Requests string `cbor:"6,keyasint"`
+	// Revisions are the newest revisions of the sender's tables, by table.
+	Revisions map[string]uint64  `cbor:"7,keyasint"`
+	InFlight  map[uint32]int     `cbor:"8,keyasint"`
+	Demand    map[string]float64 `cbor:"9,keyasint"`
+}
+
+// Bus exchanges messages and tables with the other entry VMs.
+type Bus struct {
+	udp *net.UDPConn
+	tcp net.Listener
+	// copyPort is the port at which every entry VM serves its tables.
+	copyPort uint16
+	receive  func(Message, netip.AddrPort)
+	table    func(name string) ([]byte, bool)
+
+	mu     sync.Mutex
+	listed map[netip.Addr]struct{}
+}
+
+// Handlers are called by a bus.
+type Handlers struct {
+	// Receive takes a message of another entry VM and the address it came from.
+	Receive func(Message, netip.AddrPort)
+	// Table returns the encoded copy of a table.
+	Table func(name string) ([]byte, bool)
+}
+
+// Listen opens a bus at an address with a datagram port and a port for tables.
+func Listen(ctx context.Context, ip netip.Addr, datagrams, tables uint16, h Handlers) (*Bus, error) {
+	udp, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.AddrPortFrom(ip, datagrams)))
+	if err != nil {
+		return nil, fmt.Errorf("listen for reports: %w", err)
+	}
+	var config net.ListenConfig
+	tcp, err := config.Listen(ctx, "tcp4", netip.AddrPortFrom(ip, tables).String())
+	if err != nil {
+		_ = udp.Close()
+
+		return nil, fmt.Errorf("listen for tables: %w", err)
+	}
+
+	return &Bus{udp: udp, tcp: tcp, copyPort: tables, receive: h.Receive, table: h.Table, listed: map[netip.Addr]struct{}{}}, nil
+}
+
+// SetListed replaces the addresses of the entry VMs.
+func (b *Bus) SetListed(ips []netip.Addr) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.listed = make(map[netip.Addr]struct{}, len(ips))
+	for _, ip := range ips {
+		b.listed[ip] = struct{}{}
+	}
+}
+
+func (b *Bus) isListed(ip netip.Addr) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	_, ok := b.listed[ip.Unmap()]
+
+	return ok
+}
+
+// Run receives until ctx ends.
+func (b *Bus) Run(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, b.Close)
+	defer stop()
+	go b.serveTables(ctx)
+	buffer := make([]byte, maxDatagram)
+	for {
+		n, from, err := b.udp.ReadFromUDPAddrPort(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			// A port that is closed at a peer is reported here; the peer is silent then.
+			continue
+		}
+		if !b.isListed(from.Addr()) {
+			continue
+		}
+		var m Message
+		if cbor.Unmarshal(buffer[:n], &m) == nil {
+			b.receive(m, from)
+		}
+	}
+}
+
+// Close ends the bus.
+func (b *Bus) Close() {
+	_ = b.udp.Close()
+	_ = b.tcp.Close()
+}
+
+// Send gives a message to entry VMs; a lost one is replaced by the next.
+func (b *Bus) Send(m Message, to []netip.AddrPort) error {
+	data, err := cbor.Marshal(m)
+	if err != nil {
+		return fmt.Errorf("encode report: %w", err)
+	}
+	var failed error
+	for _, address := range to {
+		if _, err := b.udp.WriteToUDPAddrPort(data, address); err != nil {
+			failed = fmt.Errorf("send report to %s: %w", address, err)
+		}
+	}
+
+	return failed
+}
+
+// request asks for a table.
+type request struct {
+	Table string `cbor:"1,keyasint"`
+}
+
+func (b *Bus) serveTables(ctx context.Context) {
+	for ctx.Err() == nil {
+		conn, err := b.tcp.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			continue
+		}
+		go b.serveTable(conn)
+	}
+}
+
+func (b *Bus) serveTable(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	from, err := netip.ParseAddrPort(conn.RemoteAddr().String())
+	if err != nil || !b.isListed(from.Addr()) {
+		return
+	}
+	_ = conn.SetDeadline(time.Now().Add(copyTimeout)) //nolint:forbidigo // Deadlines of connections are wall-clock times.
+	var r request
+	if cbor.NewDecoder(conn).Decode(&r) != nil {
+		return
+	}
+	if data, ok := b.table(r.Table); ok {
+		_, _ = conn.Write(data)
+	}
+}
+
+// Fetch reads a table from the entry VM at an address into v.
+func (b *Bus) Fetch(ctx context.Context, ip netip.Addr, table string, v any) error {
+	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
+	defer cancel()
+	var dialer net.Dialer
+	conn, err := dialer.DialContext(ctx, "tcp4", netip.AddrPortFrom(ip.Unmap(), b.copyPort).String())
+	if err != nil {
+		return fmt.Errorf("connect to entry VM %s: %w", ip, err)
+	}
+	defer func() { _ = conn.Close() }()
+	_ = conn.SetDeadline(time.Now().Add(copyTimeout)) //nolint:forbidigo // Deadlines of connections are wall-clock times.
+	if err := cbor.NewEncoder(conn).Encode(request{Table: table}); err != nil {
+		return fmt.Errorf("ask entry VM %s for %s: %w", ip, table, err)
+	}
+	if err := cbor.NewDecoder(conn).Decode(v); err != nil {
+		return fmt.Errorf("read %s from entry VM %s: %w", table, ip, err)
+	}
+
+	return nil
+}
--- /dev/null
+++ b/internal/wire/http1/exchange.go
@@ -0,0 +1,180 @@
+package http1
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Exchange is one request of a caller and its answer.
+type Exchange struct {
+	*Request
+
+	conn *callerConn
+	// turn is closed when the answers to all earlier requests were written.
+	turn chan struct{}
+	gone chan struct{}
+
+	mu     sync.Mutex
+	left   bool
+	onGone func()
+}
+
+// Gone is closed when the caller has left and takes no answer.
+func (x *Exchange) Gone() <-chan struct{} {
+	return x.gone
+}
+
+// OnGone calls f when the caller leaves, or at once if it has left; it replaces
+// the function of an earlier call. A nil f is not called.
+func (x *Exchange) OnGone(f func()) {
+	x.mu.Lock()
+	left := x.left
+	x.onGone = f
+	x.mu.Unlock()
+	if left && f != nil {
+		f()
+	}
+}
+
+func (x *Exchange) leave() {
+	x.mu.Lock()
+	if x.left {
+		x.mu.Unlock()
+
+		return
+	}
+	x.left = true
+	f := x.onGone
+	close(x.gone)
+	x.mu.Unlock()
+	if f != nil {
+		f()
+	}
+}
+
+// Abort ends the caller's connection without an answer.
+func (x *Exchange) Abort() {
+	select {
+	case <-x.turn:
+	case <-x.gone:
+	}
+	x.conn.finish(x, true)
+}
+
+var buffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
+
+// Respond writes the answer after those to earlier requests. An answer that
+// cannot be completed ends the connection.
+func (x *Exchange) Respond(r Response) {
+	if r.Rest != nil {
+		defer func() { _ = r.Rest.Close() }()
+	}
+	select {
+	case <-x.turn:
+	case <-x.gone:
+		x.conn.finish(x, true)
+
+		return
+	}
+	_ = x.conn.raw.SetWriteDeadline(time.Now().Add(writeTimeout)) //nolint:forbidigo // Deadlines of connections are wall-clock times.
+	x.conn.finish(x, x.write(r) != nil)
+}
+
+func (x *Exchange) write(r Response) error {
+	out, _ := buffers.Get().(*bytes.Buffer)
+	defer buffers.Put(out)
+	out.Reset()
+	chunked := r.Rest != nil && r.Length < 0
+	x.writeHeader(out, r, chunked)
+	if x.Method == http.MethodHead {
+		_, err := x.conn.raw.Write(out.Bytes())
+
+		return err //nolint:wrapcheck // Only its presence matters.
+	}
+	if !chunked {
+		out.Write(r.Body)
+		_, err := x.conn.raw.Write(out.Bytes())
+		if err != nil || r.Rest == nil {
+			return err //nolint:wrapcheck // Only its presence matters.
+		}
+		n, err := io.Copy(x.conn.raw, r.Rest)
+		if err == nil && n != r.Length-int64(len(r.Body)) {
+			err = io.ErrUnexpectedEOF
+		}
+
+		return err //nolint:wrapcheck // Only its presence matters.
+	}
+	if _, err := x.conn.raw.Write(out.Bytes()); err != nil {
+		return err //nolint:wrapcheck // Only its presence matters.
+	}
+
+	return x.writeChunks(r)
+}
+
+// writeChunks writes a body of unknown length.
+func (x *Exchange) writeChunks(r Response) error {
+	w := chunkWriter{to: x.conn.raw}
+	if _, err := w.Write(r.Body); err != nil {
+		return err
+	}
+	if _, err := io.Copy(w, r.Rest); err != nil {
+		return err //nolint:wrapcheck // Only its presence matters.
+	}
+	_, err := io.WriteString(x.conn.raw, "0\r\n\r\n")
+
+	return err //nolint:wrapcheck // Only its presence matters.
+}
+
+type chunkWriter struct {
+	to io.Writer
+}
+
+func (w chunkWriter) Write(p []byte) (int, error) {
+	if len(p) == 0 {
+		return 0, nil
+	}
+	chunk := strconv.AppendInt(nil, int64(len(p)), 16)
+	chunk = append(append(append(chunk, "\r\n"...), p...), "\r\n"...)
+	if _, err := w.to.Write(chunk); err != nil {
+		return 0, err //nolint:wrapcheck // A writer returns the error as it is.
+	}
+
+	return len(p), nil
+}
+
+func (x *Exchange) writeHeader(out *bytes.Buffer, r Response, chunked bool) {
+	out.WriteString("HTTP/1.1 ")
+	out.WriteString(strconv.Itoa(r.Status))
+	out.WriteByte(' ')
+	out.WriteString(http.StatusText(r.Status))
+	out.WriteString("\r\n")
+	for name, values := range r.Header {
+		if name == "Connection" {
+			continue
+		}
+		for _, value := range values {
+			out.WriteString(name)
+			out.WriteString(": ")
+			out.WriteString(value)
+			out.WriteString("\r\n")
+		}
+	}
+	switch {
+	case chunked:
+		out.WriteString("Transfer-Encoding: chunked\r\n")
+	case r.Status == http.StatusNoContent || r.Status == http.StatusNotModified:
+	default:
+		length := max(int64(len(r.Body)), r.Length)
+		out.WriteString("Content-Length: ")
+		out.WriteString(strconv.FormatInt(length, 10))
+		out.WriteString("\r\n")
+	}
+	if x.conn.isLast(x) || r.Header.Get("Connection") == "close" {
+		out.WriteString("Connection: close\r\n")
+	}
+	out.WriteString("\r\n")
+}
