Notice callers that leave after their last request; read tables at intervals

Change: the reader watches for the caller's leaving until all is answered; one entry VM reads each table every 0.7 s and the others copy changes from it.

--- a/internal/run/direct/entry.go
+++ b/internal/run/direct/entry.go
@@ -26,10 +26,14 @@
 	tickEvery = 100 * time.Millisecond
 	// pruneEvery is the interval in which idle connections are reviewed.
 	pruneEvery = 2 * time.Second
-	// gatherOrders and gatherLists are how long changes are collected before the
-	// next watch: orders must be in force within seconds, lists may come together.
-	gatherOrders = 50 * time.Millisecond
-	gatherLists  = 250 * time.Millisecond
+	// ordersEvery, serversEvery and entriesEvery are how old the copies of the
+	// store's tables may grow. Orders and servers that leave must be known within
+	// about two seconds; entry VMs report themselves to each other.
+	ordersEvery  = 700 * time.Millisecond
+	serversEvery = 700 * time.Millisecond
+	entriesEvery = 1500 * time.Millisecond
+	// readCheck is how often the age of the copies is looked at.
+	readCheck = 100 * time.Millisecond
 )
 
 // Process is one running entry VM.
@@ -77,13 +81,13 @@
 	p.listener = http1.NewListener(d.Names(), p, p.bounds)
 	p.mirrors = map[string]*mirror.Mirror{
 		TableOrders: mirror.New(d, clock, log, mirror.Options{
-			Prefix: d.Prefix(TableOrders), Gather: gatherOrders, Changed: p.ordersChanged,
+			Prefix: d.Prefix(TableOrders), Interval: ordersEvery, Changed: p.ordersChanged,
 		}),
 		TableServers: mirror.New(d, clock, log, mirror.Options{
-			Prefix: d.Prefix(TableServers), Gather: gatherLists, KeepDeleted: settings.ReturnOfLapsed, Changed: p.serversChanged,
+			Prefix: d.Prefix(TableServers), Interval: serversEvery, KeepDeleted: settings.ReturnOfLapsed, Changed: p.serversChanged,
 		}),
 		TableEntries: mirror.New(d, clock, log, mirror.Options{
-			Prefix: d.Prefix(TableEntries), Gather: gatherLists, Changed: p.entriesChanged,
+			Prefix: d.Prefix(TableEntries), Interval: entriesEvery, Changed: p.entriesChanged,
 		}),
 	}
 	bus, err := gossip.Listen(ctx, settings.Requests.Addr(), settings.Reports, settings.Tables, gossip.Handlers{
@@ -105,9 +109,7 @@
 	failed := make(chan error, 2)
 	p.work.Go(func() { failed <- p.listener.Serve(ctx, l) })
 	p.work.Go(func() { failed <- p.bus.Run(ctx) })
-	for _, m := range p.mirrors {
-		p.work.Go(func() { m.Run(ctx) })
-	}
+	p.work.Go(func() { p.readTables(ctx) })
 	p.work.Go(func() { p.announce(ctx) })
 	p.work.Go(func() { p.tick(ctx) })
 	p.work.Go(func() { p.prune(ctx) })
@@ -186,6 +188,17 @@
 	}
 }
 
+// readTables keeps the copies of the store's tables young until ctx ends.
+func (p *Process) readTables(ctx context.Context) {
+	for range p.clock.Subscribe(ctx, readCheck) {
+		for table, m := range p.mirrors {
+			if m.Due(p.rank(table)) {
+				p.work.Go(func() { m.Read(ctx) })
+			}
+		}
+	}
+}
+
 func (p *Process) prune(ctx context.Context) {
 	for range p.clock.Subscribe(ctx, pruneEvery) {
 		servers, _ := p.deployment.Servers(p.mirrors[TableServers].Snapshot().Items)
--- a/internal/run/direct/peers.go
+++ b/internal/run/direct/peers.go
@@ -11,6 +11,7 @@
 
 	"github.com/greengagetally/greengagetally/internal/run/mirror"
 	steer "github.com/greengagetally/greengagetally/internal/steer/direct"
+	"github.com/greengagetally/greengagetally/internal/value/rendezvous"
 	"github.com/greengagetally/greengagetally/internal/wire/gossip"
 )
 
@@ -21,9 +22,9 @@
 	reportFleet = 16
 	// aliveFor is how long after its last report an entry VM is named to callers.
 	aliveFor = 2 * time.Second
-	// copyAfter is how long a peer's table may be newer than the own one, which
-	// the store's watch should bring, before it is copied.
-	copyAfter = 400 * time.Millisecond
+	// copyFarAfter is how long a table of an entry VM in another region may be
+	// newer before it is copied; one in the own region is copied at once.
+	copyFarAfter = 250 * time.Millisecond
 	// maxNamed bounds the entry VMs of one lookup.
 	maxNamed = 64
 )
@@ -100,31 +101,30 @@
 	p.apply(steer.PeerReported{At: steer.At(now), Peer: m.Name, Report: steer.Report{
 		InFlight: m.InFlight, Demand: m.Demand, Region: m.Region,
 	}})
-	for table, revision := range m.Revisions {
-		p.compareTable(now, table, revision, from.Addr())
+	for table, t := range m.Tables {
+		p.compareTable(now, table, t, m.Region, from.Addr())
 	}
 }
 
-// compareTable copies a table from a peer whose copy has been newer for a while.
-func (p *Process) compareTable(now time.Duration, table string, revision uint64, from netip.Addr) {
+// compareTable copies a table from another entry VM whose copy is newer.
+func (p *Process) compareTable(now time.Duration, table string, t gossip.Table, region string, from netip.Addr) {
 	m, ok := p.mirrors[table]
 	if !ok {
 		return
 	}
+	older := m.Heard(t.Revision, time.Duration(t.AgeMillis)*time.Millisecond)
 	p.peers.mu.Lock()
 	defer p.peers.mu.Unlock()
-	if m.Loaded() && m.Snapshot().Revision >= revision {
+	if !older {
 		delete(p.peers.behind, table)
 
 		return
 	}
 	since, ok := p.peers.behind[table]
 	if !ok {
-		p.peers.behind[table] = now
-
-		return
+		p.peers.behind[table], since = now, now
 	}
-	if now-since < copyAfter || p.peers.copying[table] {
+	if region != p.self.Region && now-since < copyFarAfter || p.peers.copying[table] {
 		return
 	}
 	p.peers.copying[table] = true
@@ -132,17 +132,37 @@
 }
 
 func (p *Process) copyTable(table string, from netip.Addr) {
-	var s mirror.Snapshot
-	err := p.bus.Fetch(context.Background(), from, table, &s)
-	adopted := err == nil && p.mirrors[table].Adopt(s)
-	p.log.Info("table of an entry VM was read", zap.String("table", table), zap.Stringer("from", from),
-		zap.Bool("newer", adopted), zap.Uint64("revision", s.Revision), zap.Error(err))
+	m := p.mirrors[table]
+	base, _, _ := m.Status()
+	var d mirror.Delta
+	if err := p.bus.Fetch(context.Background(), from, table, base, &d); err != nil {
+		p.log.Warn("table of an entry VM was not read", zap.String("table", table), zap.Stringer("from", from), zap.Error(err))
+	} else {
+		m.Adopt(base, d)
+	}
 	p.peers.mu.Lock()
 	defer p.peers.mu.Unlock()
 	p.peers.copying[table] = false
 	delete(p.peers.behind, table)
 }
 
+// rank returns the place of this entry VM among those that report, in the order
+// in which they read a table from the store.
+func (p *Process) rank(table string) int {
+	now := p.clock.Now()
+	own := rendezvous.Weight(table, p.self.Name)
+	rank := 0
+	p.peers.mu.Lock()
+	defer p.peers.mu.Unlock()
+	for name, other := range p.peers.heard {
+		if now-other.heard < aliveFor && rendezvous.Weight(table, name) > own {
+			rank++
+		}
+	}
+
+	return rank
+}
+
 // report tells the other entry VMs what this one does until ctx ends.
 func (p *Process) report(ctx context.Context) {
 	last := time.Duration(0)
@@ -162,16 +182,16 @@
 	p.mu.Lock()
 	report := p.state.Report()
 	p.mu.Unlock()
-	revisions := make(map[string]uint64, len(p.mirrors))
+	tables := make(map[string]gossip.Table, len(p.mirrors))
 	for table, m := range p.mirrors {
-		if m.Loaded() {
-			revisions[table] = m.Snapshot().Revision
+		if revision, age, ok := m.Status(); ok {
+			tables[table] = gossip.Table{Revision: revision, AgeMillis: age.Milliseconds()}
 		}
 	}
 
 	return gossip.Message{
 		Name: p.self.Name, Started: p.started, Ready: p.Ready(), Zone: p.self.Zone, Region: p.self.Region,
-		Requests: p.self.Requests.String(), Revisions: revisions, InFlight: report.InFlight, Demand: report.Demand,
+		Requests: p.self.Requests.String(), Tables: tables, InFlight: report.InFlight, Demand: report.Demand,
 	}
 }
 
--- a/internal/run/direct/settings.go
+++ b/internal/run/direct/settings.go
@@ -8,9 +8,9 @@
 	"net/netip"
 	"time"
 
+	"github.com/greengagetally/greengagetally/internal/run/mirror"
 	steer "github.com/greengagetally/greengagetally/internal/steer/direct"
 	"github.com/greengagetally/greengagetally/internal/steer/intent"
-	"github.com/greengagetally/greengagetally/internal/run/mirror"
 	"github.com/greengagetally/greengagetally/internal/value/set"
 	"github.com/greengagetally/greengagetally/internal/wire/http1"
 )
--- a/internal/run/direct/tables.go
+++ b/internal/run/direct/tables.go
@@ -48,13 +48,14 @@
 	p.log.Info("entry VMs known", zap.Int("entries", len(entries)), zap.Uint64("revision", s.Revision))
 }
 
-// tableCopy returns the encoded copy of a table for another entry VM.
-func (p *Process) tableCopy(name string) ([]byte, bool) {
+// tableCopy returns the encoded changes of a table since a revision for another
+// entry VM.
+func (p *Process) tableCopy(name string, since uint64) ([]byte, bool) {
 	m, ok := p.mirrors[name]
 	if !ok || !m.Loaded() {
 		return nil, false
 	}
-	data, err := cbor.Marshal(m.Snapshot())
+	data, err := cbor.Marshal(m.Since(since))
 	if err != nil {
 		p.log.Error("cannot encode a table for an entry VM", zap.String("table", name), zap.Error(err))
 
--- a/internal/run/mirror/mirror.go
+++ b/internal/run/mirror/mirror.go
@@ -1,12 +1,15 @@
-// Package mirror keeps copies of the platform store's tables in memory. Each
-// copy follows the store by a watch, and takes over a newer copy from another
-// entry VM while the store cannot be reached.
+// Package mirror keeps copies of the store's tables in memory. One entry VM
+// reads a table at a time and the others copy what has changed from it; when
+// its readings stay away, the next one reads.
+//
+// Reading at intervals costs the same whatever changes, and it cannot miss a
+// change as a watch does whose connection went silent or whose history the
+// store has dropped.
 package mirror
 
 import (
 	"context"
-	"errors"
-	"math/rand/v2"
+	"maps"
 	"sync"
 	"time"
 
@@ -15,9 +18,6 @@
 	"github.com/greengagetally/greengagetally/internal/clock/timer"
 )
 
-// ErrCompacted is returned by a watch whose history the store has dropped.
-var ErrCompacted = errors.New("history is no longer available")
-
 // Item is a key of the store with its value.
 type Item struct {
 	Key   string
@@ -26,13 +26,6 @@
 	Revision uint64
 }
 
-// Change is a new value or a deletion of an item.
-type Change struct {
-	Item
-
-	Deleted bool
-}
-
 // Page is a part of a table.
 type Page struct {
 	Items []Item
@@ -46,35 +39,44 @@
 type Source interface {
 	// Range returns the items under prefix whose keys follow after.
 	Range(ctx context.Context, prefix, after string) (Page, error)
-	// Watch returns the changes under prefix after a revision and the revision to
-	// continue from, at the latest when wait has passed.
-	Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]Change, uint64, error)
 }
 
 const (
-	// watchWait is how long a watch may wait; a waiting watch counts as one call.
-	watchWait = 20 * time.Second
-	// callTimeout bounds a read, and what a watch takes beyond its wait.
-	callTimeout = 2 * time.Second
-	// firstBackoff and longestBackoff bound the pause after a failed call.
-	firstBackoff   = 150 * time.Millisecond
-	longestBackoff = 1200 * time.Millisecond
+	// readTimeout bounds one reading of a table.
+	readTimeout = time.Second
+	// retryAfter is the pause between two readings of one entry VM that fail.
+	retryAfter = 500 * time.Millisecond
+	// rankDelay is how much later than the one before it in rank an entry VM reads
+	// a table; it covers the delivery of that one's reading.
+	rankDelay = 300 * time.Millisecond
+	// maxRank bounds the wait of the last in rank.
+	maxRank = 4
+	// maxTombstones bounds the deletions that are remembered for copies.
+	maxTombstones = 1024
 )
 
 // Snapshot is a copy of a table.
 type Snapshot struct {
 	Items map[string]Item
-	// Revision is that of the newest change in the table.
+	// Revision is the store's revision at the reading that showed the last change.
+	Revision uint64
+}
+
+// Delta is what changed in a table since an older copy.
+type Delta struct {
+	// Whole is true when Items are the whole table.
+	Whole   bool
+	Items   map[string]Item
+	Deleted []string
+	// Revision is that of the copy with the changes.
 	Revision uint64
-	// Position is the store's revision up to which the table is complete.
-	Position uint64
 }
 
 // Options adjust a mirror.
 type Options struct {
 	Prefix string
-	// Gather is how long changes are collected before the next watch.
-	Gather time.Duration
+	// Interval is how old a copy may grow before the first in rank reads again.
+	Interval time.Duration
 	// KeepDeleted is how long deletions are held back once the store is back
 	// after an outage, because their owners may return.
 	KeepDeleted time.Duration
@@ -89,20 +91,27 @@
 	log     *zap.Logger
 	options Options
 
-	mu   sync.Mutex
-	now  Snapshot
-	held map[string]struct{}
-	// lostAt is when the store stopped answering; foundAt when it was back.
-	lost    bool
-	foundAt time.Duration
-	loaded  bool
+	// publishing orders the calls of Options.Changed.
+	publishing sync.Mutex
+
+	mu       sync.Mutex
+	now      Snapshot
+	deleted  map[string]uint64
+	loaded   bool
+	reading  bool
+	nextRead time.Duration
+	// current is when the copy was known to be that of the store.
+	current time.Duration
+	// lost is true while the store does not answer; found is when it was back.
+	lost  bool
+	found time.Duration
 }
 
 // New returns an empty mirror.
 func New(source Source, clock timer.Service, log *zap.Logger, options Options) *Mirror {
 	return &Mirror{
 		source: source, clock: clock, log: log.With(zap.String("table", options.Prefix)), options: options,
-		now: Snapshot{Items: map[string]Item{}}, held: map[string]struct{}{}, lost: true, foundAt: -time.Hour,
+		now: Snapshot{Items: map[string]Item{}}, deleted: map[string]uint64{}, lost: true,
 	}
 }
 
@@ -114,208 +123,217 @@
 	return m.now
 }
 
-// Reachable reports whether the store answered the last call.
-func (m *Mirror) Reachable() bool {
+// Loaded reports whether the table was read, from the store or another entry VM.
+func (m *Mirror) Loaded() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 
-	return !m.lost
+	return m.loaded
 }
 
-// Loaded reports whether the table was read, from the store or a peer.
-func (m *Mirror) Loaded() bool {
+// Status returns the revision of the copy and how long ago it was known to be
+// that of the store; ok is false before the first copy.
+func (m *Mirror) Status() (revision uint64, age time.Duration, ok bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 
-	return m.loaded
+	return m.now.Revision, m.clock.Now() - m.current, m.loaded
 }
 
-// Run follows the store until ctx ends.
-func (m *Mirror) Run(ctx context.Context) {
-	backoff := firstBackoff
-	reload := true
-	for ctx.Err() == nil {
-		var err error
-		if reload {
-			err = m.load(ctx)
-			reload = err != nil
-		} else {
-			err = m.follow(ctx)
-			reload = errors.Is(err, ErrCompacted)
-		}
-		m.noteCall(ctx, err)
-		if err == nil || reload && errors.Is(err, ErrCompacted) {
-			backoff = firstBackoff
-
-			continue
-		}
-		pause(ctx, time.Duration(float64(backoff)*(0.5+rand.Float64()))) //nolint:gosec // Spreads retries.
-		backoff = min(backoff*2, longestBackoff)
+// Due reports whether an entry VM of a rank, 0 first, should read the table now.
+func (m *Mirror) Due(rank int) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.clock.Now()
+	if m.reading || now < m.nextRead {
+		return false
 	}
+
+	return !m.loaded || now >= m.current+m.options.Interval+time.Duration(min(rank, maxRank))*rankDelay
 }
 
-func (m *Mirror) noteCall(ctx context.Context, err error) {
-	if ctx.Err() != nil || errors.Is(err, ErrCompacted) {
+// Read copies the table from the store; one call at a time does.
+func (m *Mirror) Read(ctx context.Context) {
+	m.mu.Lock()
+	if m.reading {
+		m.mu.Unlock()
+
 		return
 	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	switch {
-	case err != nil && !m.lost:
-		m.lost = true
-		m.log.Warn("store does not answer, keeping the last copy", zap.Uint64("revision", m.now.Revision), zap.Error(err))
-	case err == nil && m.lost:
-		m.lost = false
-		m.foundAt = m.clock.Now()
-		m.log.Info("store answers", zap.Uint64("revision", m.now.Revision), zap.Int("items", len(m.now.Items)))
+	m.reading = true
+	m.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	start := m.clock.Now()
+	items, revision, err := m.readAll(ctx)
+	if err != nil {
+		m.failed(err)
+
+		return
 	}
+	m.replace(items, revision, start)
 }
 
-// load reads the whole table.
-func (m *Mirror) load(ctx context.Context) error {
+func (m *Mirror) readAll(ctx context.Context) (map[string]Item, uint64, error) {
 	items := map[string]Item{}
-	after, position := "", uint64(0)
+	after, revision := "", uint64(0)
 	for {
-		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		page, err := m.source.Range(callCtx, m.options.Prefix, after)
-		cancel()
+		page, err := m.source.Range(ctx, m.options.Prefix, after)
 		if err != nil {
-			return err //nolint:wrapcheck // The source describes its calls.
+			return nil, 0, err //nolint:wrapcheck // The source describes its calls.
 		}
-		if position == 0 {
-			position = page.Revision
+		if revision == 0 {
+			// Later pages may show later changes; the next reading finds them.
+			revision = page.Revision
 		}
 		for _, item := range page.Items {
 			items[item.Key] = item
 			after = item.Key
 		}
 		if !page.More || len(page.Items) == 0 {
-			break
+			return items, revision, nil
 		}
 	}
-	m.replace(items, position)
+}
 
-	return nil
+func (m *Mirror) failed(err error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.reading = false
+	m.nextRead = m.clock.Now() + retryAfter
+	if m.lost {
+		return
+	}
+	m.lost = true
+	m.log.Warn("store does not answer, keeping the last copy", zap.Uint64("revision", m.now.Revision), zap.Error(err))
 }
 
-// replace takes over a whole table read at a position, unless it is older.
-func (m *Mirror) replace(items map[string]Item, position uint64) {
+// replace takes over a table that was read at a revision, from start on.
+func (m *Mirror) replace(items map[string]Item, revision uint64, start time.Duration) {
+	m.publishing.Lock()
+	defer m.publishing.Unlock()
 	m.mu.Lock()
-	if position < m.now.Position {
+	m.reading = false
+	if m.lost {
+		m.lost, m.found = false, m.clock.Now()
+		m.log.Info("store answers", zap.Uint64("revision", revision), zap.Int("items", len(items)))
+	}
+	m.current = max(m.current, start)
+	if m.loaded && revision <= m.now.Revision {
 		m.mu.Unlock()
 
 		return
 	}
-	first := !m.loaded
+	changed := !m.loaded || m.merge(items, revision)
 	m.loaded = true
-	next := Snapshot{Items: items, Revision: m.now.Revision, Position: position}
-	for _, item := range items {
-		next.Revision = max(next.Revision, item.Revision)
+	if changed {
+		m.now = Snapshot{Items: items, Revision: revision}
+	}
+	m.mu.Unlock()
+	if changed {
+		m.options.Changed(m.Snapshot())
 	}
-	if !first {
-		for key, item := range m.now.Items {
-			if _, ok := items[key]; !ok && m.holds() {
-				items[key] = item
-				m.held[key] = struct{}{}
-			}
+}
+
+// merge notes deletions, or keeps the items for now, and reports whether the
+// table differs from the present copy. Callers hold m.mu.
+func (m *Mirror) merge(items map[string]Item, revision uint64) bool {
+	keep := m.options.KeepDeleted > 0 && m.clock.Now() < m.found+m.options.KeepDeleted
+	changed := false
+	for key, old := range m.now.Items {
+		next, ok := items[key]
+		switch {
+		case !ok && keep:
+			items[key] = old
+		case !ok:
+			m.bury(key, revision)
+			changed = true
+		case next.Revision != old.Revision:
+			changed = true
 		}
 	}
-	m.now = next
-	m.mu.Unlock()
-	m.publish()
+
+	return changed || len(items) != len(m.now.Items)
 }
 
-// holds reports whether deletions are held back now. Callers hold m.mu.
-func (m *Mirror) holds() bool {
-	return m.options.KeepDeleted > 0 && (m.lost || m.clock.Now() < m.foundAt+m.options.KeepDeleted)
+func (m *Mirror) bury(key string, revision uint64) {
+	if len(m.deleted) >= maxTombstones {
+		clear(m.deleted)
+	}
+	m.deleted[key] = revision
 }
 
-// follow waits for changes and applies them.
-func (m *Mirror) follow(ctx context.Context) error {
-	pause(ctx, m.options.Gather)
+// Heard notes that another entry VM knew, age ago, that its copy of a revision
+// was that of the store. It reports whether the own copy is older.
+func (m *Mirror) Heard(revision uint64, age time.Duration) bool {
 	m.mu.Lock()
-	after, wait := m.now.Position, watchWait
-	if len(m.held) > 0 || m.lost {
-		wait = m.options.KeepDeleted + firstBackoff
+	defer m.mu.Unlock()
+	if !m.loaded || revision > m.now.Revision {
+		return true
 	}
-	m.mu.Unlock()
-	callCtx, cancel := context.WithTimeout(ctx, wait+callTimeout)
-	defer cancel()
-	changes, position, err := m.source.Watch(callCtx, m.options.Prefix, after, wait)
-	if err != nil {
-		return err //nolint:wrapcheck // The source describes its calls.
+	if revision == m.now.Revision {
+		m.current = max(m.current, m.clock.Now()-age)
 	}
-	m.apply(changes, position)
 
-	return nil
+	return false
 }
 
-func (m *Mirror) apply(changes []Change, position uint64) {
+// Since returns what changed since the copy of a revision.
+func (m *Mirror) Since(revision uint64) Delta {
 	m.mu.Lock()
-	next := Snapshot{Items: make(map[string]Item, len(m.now.Items)), Revision: m.now.Revision, Position: max(position, m.now.Position)}
-	for key, item := range m.now.Items {
-		next.Items[key] = item
+	defer m.mu.Unlock()
+	d := Delta{Items: map[string]Item{}, Revision: m.now.Revision}
+	if revision == 0 || len(m.deleted) >= maxTombstones/2 {
+		d.Whole = true
+		maps.Copy(d.Items, m.now.Items)
+
+		return d
 	}
-	holding := m.holds()
-	for _, change := range changes {
-		next.Revision = max(next.Revision, change.Revision)
-		if old, ok := next.Items[change.Key]; ok && old.Revision > change.Revision {
-			continue
-		}
-		delete(m.held, change.Key)
-		switch {
-		case !change.Deleted:
-			next.Items[change.Key] = change.Item
-		case holding:
-			m.held[change.Key] = struct{}{}
-		default:
-			delete(next.Items, change.Key)
+	for key, item := range m.now.Items {
+		if item.Revision > revision {
+			d.Items[key] = item
 		}
 	}
-	changed := len(changes) > 0
-	if !holding && !m.lost {
-		for key := range m.held {
-			delete(next.Items, key)
-			delete(m.held, key)
-			changed = true
+	for key, at := range m.deleted {
+		if _, ok := m.now.Items[key]; !ok && at > revision {
+			d.Deleted = append(d.Deleted, key)
 		}
 	}
-	m.now = next
-	m.mu.Unlock()
-	if changed {
-		m.publish()
-	}
+
+	return d
 }
 
-// Adopt takes over a newer copy that another entry VM holds and reports whether
-// it was newer.
-func (m *Mirror) Adopt(s Snapshot) bool {
+// Adopt takes over the changes of a newer copy that another entry VM holds; base
+// is the revision for which they were asked. It reports whether they were newer.
+func (m *Mirror) Adopt(base uint64, d Delta) bool {
+	m.publishing.Lock()
+	defer m.publishing.Unlock()
 	m.mu.Lock()
-	if s.Revision <= m.now.Revision && m.loaded {
+	if m.loaded && (d.Revision <= m.now.Revision || !d.Whole && base != m.now.Revision) {
 		m.mu.Unlock()
 
 		return false
 	}
+	items := d.Items
+	if !d.Whole {
+		items = maps.Clone(m.now.Items)
+		maps.Copy(items, d.Items)
+		for _, key := range d.Deleted {
+			delete(items, key)
+		}
+	}
+	if items == nil {
+		items = map[string]Item{}
+	}
+	for key := range m.now.Items {
+		if _, ok := items[key]; !ok {
+			m.bury(key, d.Revision)
+		}
+	}
 	m.loaded = true
-	m.now = Snapshot{Items: s.Items, Revision: s.Revision, Position: max(s.Position, m.now.Position)}
+	m.now = Snapshot{Items: items, Revision: d.Revision}
 	m.mu.Unlock()
-	m.publish()
-
-	return true
-}
-
-func (m *Mirror) publish() {
 	m.options.Changed(m.Snapshot())
-}
 
-func pause(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
+	return true
 }
--- a/internal/wire/caller/steering_test.go
+++ b/internal/wire/caller/steering_test.go
@@ -140,8 +140,8 @@
 
 type noMetrics struct{}
 
-func (noMetrics) Served(string, time.Duration)        {}
-func (noMetrics) Refused(string, string) {}
+func (noMetrics) Served(string, time.Duration) {}
+func (noMetrics) Refused(string, string)       {}
 
 // entryVM is the listeners of one entry VM with a scripted reducer.
 type entryVM struct {
--- a/internal/wire/gossip/gossip.go
+++ b/internal/wire/gossip/gossip.go
@@ -34,10 +34,17 @@
 	Region  string `cbor:"5,keyasint"`
 	// Requests is the address for callers' requests.
 	Requests string `cbor:"6,keyasint"`
-	// Revisions are the newest revisions of the sender's tables, by table.
-	Revisions map[string]uint64  `cbor:"7,keyasint"`
-	InFlight  map[uint32]int     `cbor:"8,keyasint"`
-	Demand    map[string]float64 `cbor:"9,keyasint"`
+	// Tables describe the sender's copies of the store's tables.
+	Tables   map[string]Table   `cbor:"7,keyasint"`
+	InFlight map[uint32]int     `cbor:"8,keyasint"`
+	Demand   map[string]float64 `cbor:"9,keyasint"`
+}
+
+// Table describes a copy of one of the store's tables.
+type Table struct {
+	Revision uint64 `cbor:"1,keyasint"`
+	// AgeMillis is how long ago the copy was known to be that of the store.
+	AgeMillis int64 `cbor:"2,keyasint"`
 }
 
 // Bus exchanges messages and tables with the other entry VMs.
@@ -47,7 +54,7 @@
 	// copyPort is the port at which every entry VM serves its tables.
 	copyPort uint16
 	receive  func(Message, netip.AddrPort)
-	table    func(name string) ([]byte, bool)
+	table    func(name string, since uint64) ([]byte, bool)
 
 	mu     sync.Mutex
 	listed map[netip.Addr]struct{}
@@ -57,8 +64,8 @@
 type Handlers struct {
 	// Receive takes a message of another entry VM and the address it came from.
 	Receive func(Message, netip.AddrPort)
-	// Table returns the encoded copy of a table.
-	Table func(name string) ([]byte, bool)
+	// Table returns the encoded changes of a table since a revision.
+	Table func(name string, since uint64) ([]byte, bool)
 }
 
 // Listen opens a bus at an address with a datagram port and a port for tables.
@@ -146,6 +153,7 @@
 // request asks for a table.
 type request struct {
 	Table string `cbor:"1,keyasint"`
+	Since uint64 `cbor:"2,keyasint"`
 }
 
 func (b *Bus) serveTables(ctx context.Context) {
@@ -172,13 +180,14 @@
 	if cbor.NewDecoder(conn).Decode(&r) != nil {
 		return
 	}
-	if data, ok := b.table(r.Table); ok {
+	if data, ok := b.table(r.Table, r.Since); ok {
 		_, _ = conn.Write(data)
 	}
 }
 
-// Fetch reads a table from the entry VM at an address into v.
-func (b *Bus) Fetch(ctx context.Context, ip netip.Addr, table string, v any) error {
+// Fetch reads the changes of a table since a revision from the entry VM at an
+// address into v.
+func (b *Bus) Fetch(ctx context.Context, ip netip.Addr, table string, since uint64, v any) error {
 	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
 	defer cancel()
 	var dialer net.Dialer
@@ -188,7 +197,7 @@
 	}
 	defer func() { _ = conn.Close() }()
 	_ = conn.SetDeadline(time.Now().Add(copyTimeout)) //nolint:forbidigo // Deadlines of connections are wall-clock times.
-	if err := cbor.NewEncoder(conn).Encode(request{Table: table}); err != nil {
+	if err := cbor.NewEncoder(conn).Encode(request{Table: table, Since: since}); err != nil {
 		return fmt.Errorf("ask entry VM %s for %s: %w", ip, table, err)
 	}
 	if err := cbor.NewDecoder(conn).Decode(v); err != nil {
--- a/internal/wire/http1/attempt.go
+++ b/internal/wire/http1/attempt.go
@@ -286,4 +286,3 @@
 
 	return r.conn.raw.Close() //nolint:wrapcheck // Only its presence matters.
 }
-
--- a/internal/wire/http1/caller.go
+++ b/internal/wire/http1/caller.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -83,6 +84,9 @@
 func (c *callerConn) run() {
 	defer c.server.forget(c)
 	err := c.readAll()
+	if errors.Is(err, errStopped) && c.watchLeaving() {
+		err = errLeft
+	}
 	c.mu.Lock()
 	c.last = true
 	idle := len(c.outstanding) == 0
@@ -102,7 +106,30 @@
 	}
 }
 
-var errStopped = errors.New("no further request is read")
+var (
+	errStopped = errors.New("no further request is read")
+	errLeft    = errors.New("caller left before its answers")
+)
+
+// watchLeaving discards what follows the last request and reports whether the
+// caller left before all requests were answered.
+func (c *callerConn) watchLeaving() bool {
+	c.mu.Lock()
+	c.last = true
+	if len(c.outstanding) == 0 {
+		c.mu.Unlock()
+
+		return false
+	}
+	c.limit.left = -1
+	_ = c.raw.SetReadDeadline(time.Time{})
+	c.mu.Unlock()
+	_, _ = io.Copy(io.Discard, c.in)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	return len(c.outstanding) > 0
+}
 
 func (c *callerConn) readAll() error {
 	for {
@@ -176,7 +203,7 @@
 		_ = c.raw.SetReadDeadline(time.Now().Add(bounds.HeaderTimeout)) //nolint:forbidigo // Deadlines of connections are wall-clock times.
 	}
 	if bounds.HeaderBytes > 0 {
-		c.limit.left = bounds.HeaderBytes + readBuffer
+		c.limit.left = max(bounds.HeaderBytes-c.in.Buffered(), 0)
 	}
 	r, err := http.ReadRequest(c.in)
 	c.limit.left = -1
@@ -274,9 +301,8 @@
 // finish removes the exchange that was answered and lets the next one write.
 func (c *callerConn) finish(x *Exchange, broken bool) {
 	c.mu.Lock()
-	if len(c.outstanding) > 0 && c.outstanding[0] == x {
-		c.outstanding = c.outstanding[1:]
-	}
+	at := slices.Index(c.outstanding, x)
+	c.outstanding = slices.Delete(c.outstanding, at, at+1)
 	if broken && !c.broken {
 		c.broken = true
 		for _, other := range c.outstanding {
@@ -284,7 +310,7 @@
 		}
 		_ = c.raw.Close()
 	}
-	if len(c.outstanding) > 0 {
+	if at == 0 && len(c.outstanding) > 0 {
 		close(c.outstanding[0].turn)
 	}
 	closing := c.last && len(c.outstanding) == 0 && !c.broken
--- /dev/null
+++ b/internal/wire/http1/listener_test.go
@@ -0,0 +1,199 @@
+package http1_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/greengagetally/greengagetally/internal/wire/http1"
+)
+
+// testWait bounds every wait of these tests.
+const testWait = 10 * time.Second
+
+var testNames = http1.Names{
+	RequestID: "Request-Id", Deadline: "Deadline-Ms", ObjectCookie: "object", ExpectInstance: "Expect-Instance",
+	NotRun: "Not-Run", Load: "Load", Instance: "Instance", ColdMillis: "Cold-Ms",
+}
+
+// handlerFunc adapts a function to http1.Handler.
+type handlerFunc func(x *http1.Exchange)
+
+func (f handlerFunc) Serve(x *http1.Exchange) { f(x) }
+
+// startListener serves h and returns the listener and its address.
+func startListener(t *testing.T, h handlerFunc, bounds http1.Bounds) (*http1.Listener, string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	server := http1.NewListener(testNames, h, func() http1.Bounds { return bounds })
+	ctx, cancel := context.WithCancel(context.Background())
+	var done sync.WaitGroup
+	done.Go(func() { _ = server.Serve(ctx, l) })
+	t.Cleanup(func() {
+		cancel()
+		done.Wait()
+	})
+
+	return server, l.Addr().String()
+}
+
+func dial(t *testing.T, address string) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", address)
+	require.NoError(t, err)
+	require.NoError(t, c.SetDeadline(time.Now().Add(testWait)))
+	t.Cleanup(func() { _ = c.Close() })
+
+	return c
+}
+
+func get(path string) string {
+	return "GET " + path + " HTTP/1.1\r\nHost: a\r\nRequest-Id: " + path[1:] + "\r\n\r\n"
+}
+
+func readAnswer(t *testing.T, in *bufio.Reader) (int, string, bool) {
+	t.Helper()
+	resp, err := http.ReadResponse(in, nil)
+	require.NoError(t, err)
+	body, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	require.NoError(t, resp.Body.Close())
+
+	return resp.StatusCode, string(body), resp.Close
+}
+
+// Guards against pipelined requests that wait for each other, and against
+// answers in the order of their ends.
+func TestPipelinedRequestsRunTogetherAndAnswerInOrder(t *testing.T) {
+	t.Parallel()
+	second := make(chan struct{})
+	_, address := startListener(t, func(x *http1.Exchange) {
+		if x.Target == "/1" {
+			<-second
+		} else {
+			close(second)
+		}
+		x.Respond(http1.Response{Status: 200, Body: []byte(x.ID)})
+	}, http1.Bounds{})
+	c := dial(t, address)
+	_, err := io.WriteString(c, get("/1")+get("/2"))
+	require.NoError(t, err)
+	in := bufio.NewReader(c)
+	for _, want := range []string{"1", "2"} {
+		status, body, _ := readAnswer(t, in)
+		require.Equal(t, 200, status)
+		require.Equal(t, want, body)
+	}
+}
+
+// Guards against the crash when a caller left with several requests in flight
+// and their ends came in another order.
+func TestCallerLeavesWithRequestsInFlight(t *testing.T) {
+	t.Parallel()
+	const requests = 8
+	var started, ended sync.WaitGroup
+	started.Add(requests)
+	ended.Add(requests)
+	_, address := startListener(t, func(x *http1.Exchange) {
+		defer ended.Done()
+		started.Done()
+		<-x.Gone()
+		x.Abort()
+	}, http1.Bounds{})
+	c := dial(t, address)
+	for i := range requests {
+		_, err := io.WriteString(c, get(fmt.Sprintf("/%d", i)))
+		require.NoError(t, err)
+	}
+	started.Wait()
+	require.NoError(t, c.Close())
+	ended.Wait()
+}
+
+// Guards against a planned stop that cuts requests: what was read is answered,
+// the last answer ends the connection, idle connections end at once.
+func TestDrainAnswersWhatWasRead(t *testing.T) {
+	t.Parallel()
+	started, release := make(chan struct{}), make(chan struct{})
+	server, address := startListener(t, func(x *http1.Exchange) {
+		close(started)
+		<-release
+		x.Respond(http1.Response{Status: 200, Body: []byte("whole")})
+	}, http1.Bounds{})
+	busy, idle := dial(t, address), dial(t, address)
+	_, err := io.WriteString(busy, get("/1"))
+	require.NoError(t, err)
+	<-started
+	server.Drain()
+	_, err = idle.Read(make([]byte, 1))
+	require.ErrorIs(t, err, io.EOF)
+	close(release)
+	status, body, closes := readAnswer(t, bufio.NewReader(busy))
+	require.Equal(t, 200, status)
+	require.Equal(t, "whole", body)
+	require.True(t, closes)
+}
+
+// Guards against requests that reach servers with another body than was sent.
+func TestBodiesAreReadWhole(t *testing.T) {
+	t.Parallel()
+	_, address := startListener(t, func(x *http1.Exchange) {
+		x.Respond(http1.Response{Status: 200, Body: x.Body})
+	}, http1.Bounds{BodyBytes: 10, HeaderBytes: 4096})
+	for _, c := range []struct {
+		name, request string
+		status        int
+		body          string
+	}{
+		{"length", "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\nhello", 200, "hello"},
+		{"chunks", "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhe\r\n3\r\nllo\r\n0\r\n\r\n", 200, "hello"},
+		{"too long", "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 11\r\n\r\nhello world", 413, ""},
+		{"chunks too long", "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nb\r\nhello world\r\n0\r\n\r\n", 413, ""},
+		{"header too long", "GET / HTTP/1.1\r\nHost: a\r\nX: " + strings.Repeat("x", 9000) + "\r\n\r\n", 431, ""},
+		{"no request", "nonsense\r\n\r\n", 400, ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			conn := dial(t, address)
+			_, err := io.WriteString(conn, c.request)
+			require.NoError(t, err)
+			status, body, _ := readAnswer(t, bufio.NewReader(conn))
+			require.Equal(t, c.status, status)
+			require.Equal(t, c.body, body)
+		})
+	}
+}
+
+// Guards against work that goes on for a caller that asked for its connection to
+// be closed after the answer, and left before it.
+func TestCallerLeavesAfterItsLastRequest(t *testing.T) {
+	t.Parallel()
+	gone := make(chan struct{})
+	started := make(chan struct{})
+	_, address := startListener(t, func(x *http1.Exchange) {
+		close(started)
+		<-x.Gone()
+		close(gone)
+		x.Abort()
+	}, http1.Bounds{})
+	c := dial(t, address)
+	_, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
+	require.NoError(t, err)
+	<-started
+	require.NoError(t, c.Close())
+	select {
+	case <-gone:
+	case <-time.After(testWait):
+		require.Fail(t, "the caller's leaving was not noticed")
+	}
+}
