Serve first who can still make the target

Change: the time since a caller's first attempt follows from the patience it states; requests that can make their target go first, the others get idle slots.

--- a/internal/run/direct/serve.go
+++ b/internal/run/direct/serve.go
@@ -73,7 +73,7 @@
 	e.id = p.lastID
 	p.waiting[e.id] = e.effects
 	p.reduce(steer.RequestArrived{
-		At: steer.At(now), ID: e.id, Route: route, Object: x.Object, Until: now + patience,
+		At: steer.At(now), ID: e.id, Route: route, Object: x.Object, Until: now + patience, Patience: x.Patience,
 		Fingerprint: xxhash.Sum64String(x.Method + x.Host + x.Target + string(x.Body)),
 	})
 	p.mu.Unlock()
--- /dev/null
+++ b/internal/steer/direct/aim.go
@@ -0,0 +1,107 @@
+package direct
+
+import (
+	"time"
+
+	"github.com/greengagetally/greengagetally/internal/value/ewma"
+)
+
+// This file answers the load at which callers ask for more than the servers can
+// run: callers that were refused come back later, and an answer to them is worth
+// a fraction of one within its target. Requests that can still make their target
+// go first, and the others get what is left.
+
+const (
+	// callerTransit is the time between a caller and its entry VM and back.
+	callerTransit = 14 * time.Millisecond
+	// patienceLife is how long the greatest patience of a route's callers is
+	// remembered.
+	patienceLife = 20 * time.Second
+	// pressureAlpha weighs one request in the pressure on a service: about the
+	// last 50.
+	pressureAlpha = 0.02
+	// pressed is the share of requests without room above which requests that
+	// will miss their target are refused at once.
+	pressed = 0.03
+	// lateReserve is the number of slots of a server that requests which will miss
+	// their target leave free.
+	lateReserve = 1
+	// idleShare is the use of a server's slots below which any request may have one:
+	// nobody who could make a target there is kept from it.
+	idleShare = 0.6
+	// optimism is the usual time of an answer relative to the mean, which a few
+	// slow servers and cold objects raise.
+	optimism = 0.85
+	// returnShare is the part of the time left after which a caller is asked to
+	// come back under pressure; callers wait no longer than a third of it.
+	returnShare = 0.3
+)
+
+// patience is the longest wait that callers of a route state; a caller states
+// less when it has asked before.
+type patience struct {
+	most time.Duration
+	at   time.Duration
+}
+
+// elapsed returns how long ago a caller asked for the first time.
+func (p *patience) elapsed(now, stated time.Duration) time.Duration {
+	if stated >= p.most || now > p.at+patienceLife {
+		p.most, p.at = stated, now
+	}
+
+	return p.most - stated
+}
+
+// pressure is the share of the requests for a service that found no room while
+// they could still make their target.
+type pressure struct {
+	share ewma.Mean
+}
+
+func (p *pressure) note(found bool) {
+	missed := 1.0
+	if found {
+		missed = 0
+	}
+	p.share = p.share.With(missed, pressureAlpha)
+}
+
+func (p *pressure) high() bool {
+	return p.share.Value() > pressed
+}
+
+// makes reports whether an answer of a server will be within the target.
+func (s *state) makes(r *request, c *server) bool {
+	took := s.distance(c.Region) + time.Duration(optimism*c.speed(s.now)*float64(s.work(r)))
+
+	return s.now+took <= r.aim
+}
+
+// canMake reports whether a request can still make its target at some server.
+func (s *state) canMake(r *request) bool {
+	return s.now+time.Duration(optimism*float64(s.work(r))) <= r.aim
+}
+
+// mayBeLate reports whether a server takes a request that misses its target.
+func (s *state) mayBeLate(r *request, c *server) bool {
+	if float64(c.occupied()) < idleShare*float64(c.Slots) {
+		return true
+	}
+
+	return !s.pressure(r.service).high() && c.occupied() < c.Slots-lateReserve
+}
+
+// returnAfter tells a refused caller when to come back.
+func (s *state) returnAfter(r *request) time.Duration {
+	spread := time.Duration(s.random.Float64() * float64(returnSpread))
+	if !s.pressure(r.service).high() {
+		return returnBase + spread
+	}
+
+	return max(returnBase, time.Duration(returnShare*float64(r.until-s.now))) + spread/4
+}
+
+func (s *state) pressure(service string) *pressure {
+	return entryOf(s.pressures, service, func() *pressure { return &pressure{} })
+}
--- a/internal/steer/direct/choose.go
+++ b/internal/steer/direct/choose.go
@@ -13,43 +13,42 @@
 	// warmAdvantage is the time that work takes at a server that knows its object,
 	// relative to another; a slower server is worth leaving beyond it.
 	warmAdvantage = 0.7
-	// hopeless is the slowdown above which a server is a last resort.
-	hopeless = 3.0
+	// missed is the cost of an answer beyond the target, in usual work times.
+	missed = 2.0
 	// untried is the work time assumed for a route without answers, as a share of
 	// its target.
 	untried = 0.5
 )
 
-// choose returns the server for a request, or nil when none has room. reachable
-// is false when no server may take the request at all.
+// choose returns the server for a request, or nil when none has room. A server
+// that makes the target is preferred, first one in the region that the division
+// gives; a request that misses its target gets room only without pressure.
+// reachable is false when no server may take the request at all.
 func (s *state) choose(r *request) (chosen *server, reachable bool) {
 	own := s.settings.Region
-	first, ok := own, true
+	first, known := own, true
 	if sp := s.spreads[r.service]; sp != nil {
-		first, ok = sp.regionOf(r.point, own, r.permits)
+		first, known = sp.regionOf(r.point, own, r.permits)
 	}
-	if !ok {
-		return s.chooseAnywhere(r, "")
+	var best, other *server
+	if known {
+		best, reachable = s.pick(r, func(c *server) bool { return c.Region == first })
 	}
-	if best, may := s.chooseIn(r, first); best != nil {
+	if best != nil && s.makes(r, best) {
+		return best, true
+	}
+	other, may := s.pick(r, func(c *server) bool { return !known || c.Region != first })
+	if other != nil && s.makes(r, other) {
+		return other, true
+	}
+	if best == nil {
+		best = other
+	}
+	if best != nil && s.mayBeLate(r, best) {
 		return best, true
-	} else if may {
-		reachable = true
 	}
-	other, may := s.chooseAnywhere(r, first)
-
-	return other, reachable || may
-}
-
-// chooseIn returns the best server with room in one region.
-func (s *state) chooseIn(r *request, region string) (best *server, reachable bool) {
-	return s.pick(r, func(c *server) bool { return c.Region == region })
-}
 
-// chooseAnywhere returns the best server with room in the other regions, as long
-// as its answer can still arrive within the target.
-func (s *state) chooseAnywhere(r *request, except string) (best *server, reachable bool) {
-	return s.pick(r, func(c *server) bool { return c.Region != except })
+	return nil, reachable || may
 }
 
 // pick returns the best server with room among those of the request's service
@@ -112,6 +111,9 @@
 	speed := c.speed(s.now)
 	usual := s.work(r)
 	cost := speed
+	if !s.makes(r, c) {
+		cost += missed
+	}
 	if over := c.occupied() - c.Slots; over >= 0 {
 		cost += speed * float64(over+1) / float64(max(c.Slots, 1))
 	} else {
--- a/internal/steer/direct/direct.go
+++ b/internal/steer/direct/direct.go
@@ -77,6 +77,8 @@
 	spreads   map[string]*spread
 	works     map[string]ewma.Mean
 	distances map[string]time.Duration
+	patiences map[string]*patience
+	pressures map[string]*pressure
 	sequence  float64
 
 	out []Effect
@@ -98,6 +100,8 @@
 		spreads:   map[string]*spread{},
 		works:     map[string]ewma.Mean{},
 		distances: map[string]time.Duration{},
+		patiences: map[string]*patience{},
+		pressures: map[string]*pressure{},
 	}}
 }
 
@@ -148,6 +152,10 @@
 	if e.Route.Timeout > 0 {
 		r.until = min(r.until, s.now+e.Route.Timeout)
 	}
+	r.aim = s.now + e.Route.Target - callerTransit
+	if e.Patience > 0 {
+		r.aim -= entryOf(s.patiences, e.Route.Name, func() *patience { return &patience{} }).elapsed(s.now, e.Patience)
+	}
 	s.sequence += goldenRatio
 	s.sequence -= float64(int(s.sequence))
 	r.point = s.sequence
@@ -165,19 +173,20 @@
 // place sends a request, lets it wait or refuses it.
 func (s *state) place(r *request) {
 	chosen, reachable := s.choose(r)
-	if chosen != nil {
-		s.send(r, chosen)
-
-		return
+	canMake := s.canMake(r)
+	if canMake {
+		s.pressure(r.service).note(chosen != nil)
 	}
 	until := holdUntil(r)
-	if !reachable && len(s.byService[r.service]) == 0 || s.now >= until {
+	switch {
+	case chosen != nil:
+		s.send(r, chosen)
+	case !reachable && len(s.byService[r.service]) == 0, s.now >= until, !canMake:
 		s.refuse(r, s.refusal(r, reachable))
-
-		return
+	default:
+		s.queue(r.service).push(r)
+		s.emit(Hold{ID: r.id, Until: until})
 	}
-	s.queue(r.service).push(r)
-	s.emit(Hold{ID: r.id, Until: until})
 }
 
 func (s *state) refusal(r *request, reachable bool) Reason {
@@ -206,8 +215,7 @@
 
 func (s *state) refuse(r *request, reason Reason) {
 	s.forget(r)
-	after := returnBase + time.Duration(s.random.Float64()*float64(returnSpread))
-	s.emit(Refuse{ID: r.id, Reason: reason, RetryAfter: after})
+	s.emit(Refuse{ID: r.id, Reason: reason, RetryAfter: s.returnAfter(r)})
 }
 
 func (s *state) forget(r *request) {
--- a/internal/steer/direct/event.go
+++ b/internal/steer/direct/event.go
@@ -115,6 +115,8 @@
 		Object string
 		// Until is when the caller stops waiting.
 		Until time.Duration
+		// Patience is how long the caller states to wait, 0 when it does not.
+		Patience time.Duration
 		// Fingerprint is equal for requests with the same content.
 		Fingerprint uint64
 	}
--- a/internal/steer/direct/request.go
+++ b/internal/steer/direct/request.go
@@ -15,6 +15,9 @@
 	arrived time.Duration
 	// until is when the caller or the operator stops waiting.
 	until time.Duration
+	// aim is when the answer must leave to be within the route's target, counted
+	// from the caller's first attempt.
+	aim time.Duration
 	// objectHash orders the servers for the request's object; point is its place
 	// in the division among the regions.
 	objectHash  uint64
