Copy newer tables at once; read them every half second

Change: the wait runs from the first report of a newer copy; changes are told at once; orders and servers are read every 0.5 s.

--- a/internal/run/direct/entry.go
+++ b/internal/run/direct/entry.go
@@ -29,8 +29,8 @@
 	// ordersEvery, serversEvery and entriesEvery are how old the copies of the
 	// store's tables may grow. Orders and servers that leave must be known within
 	// about two seconds; entry VMs report themselves to each other.
-	ordersEvery  = 700 * time.Millisecond
-	serversEvery = 700 * time.Millisecond
+	ordersEvery  = 500 * time.Millisecond
+	serversEvery = 500 * time.Millisecond
 	entriesEvery = 1500 * time.Millisecond
 	// readCheck is how often the age of the copies is looked at.
 	readCheck = 100 * time.Millisecond
@@ -193,7 +193,11 @@
 	for range p.clock.Subscribe(ctx, readCheck) {
 		for table, m := range p.mirrors {
 			if m.Due(p.rank(table)) {
-				p.work.Go(func() { m.Read(ctx) })
+				p.work.Go(func() {
+					if m.Read(ctx) {
+						p.tell()
+					}
+				})
 			}
 		}
 	}
--- a/internal/run/direct/peers.go
+++ b/internal/run/direct/peers.go
@@ -24,7 +24,7 @@
 	aliveFor = 2 * time.Second
 	// copyFarAfter is how long a table of an entry VM in another region may be
 	// newer before it is copied; one in the own region is copied at once.
-	copyFarAfter = 250 * time.Millisecond
+	copyFarAfter = 120 * time.Millisecond
 	// maxNamed bounds the entry VMs of one lookup.
 	maxNamed = 64
 )
@@ -37,6 +37,12 @@
 	heard   time.Duration
 }
 
+// newer is a revision that the own copy of a table has not reached.
+type newer struct {
+	revision uint64
+	since    time.Duration
+}
+
 // peers are the other entry VMs: those that the store lists, and those that
 // report.
 type peers struct {
@@ -45,7 +51,8 @@
 	mu     sync.Mutex
 	listed map[string]Entry
 	heard  map[string]peer
-	behind map[string]time.Duration
+	// behind tells for each table how long a newer copy is known.
+	behind map[string]newer
 	// copying holds the tables that are being copied from a peer.
 	copying map[string]bool
 }
@@ -53,7 +60,7 @@
 func newPeers(self Entry) *peers {
 	return &peers{
 		self: self, listed: map[string]Entry{}, heard: map[string]peer{},
-		behind: map[string]time.Duration{}, copying: map[string]bool{},
+		behind: map[string]newer{}, copying: map[string]bool{},
 	}
 }
 
@@ -113,18 +120,22 @@
 		return
 	}
 	older := m.Heard(t.Revision, time.Duration(t.AgeMillis)*time.Millisecond)
+	revision, _, _ := m.Status()
 	p.peers.mu.Lock()
 	defer p.peers.mu.Unlock()
-	if !older {
+	behind, ok := p.peers.behind[table]
+	if ok && revision >= behind.revision && m.Loaded() {
 		delete(p.peers.behind, table)
-
+		ok = false
+	}
+	if !older {
 		return
 	}
-	since, ok := p.peers.behind[table]
 	if !ok {
-		p.peers.behind[table], since = now, now
+		behind = newer{revision: t.Revision, since: now}
+		p.peers.behind[table] = behind
 	}
-	if region != p.self.Region && now-since < copyFarAfter || p.peers.copying[table] {
+	if region != p.self.Region && now-behind.since < copyFarAfter || p.peers.copying[table] {
 		return
 	}
 	p.peers.copying[table] = true
@@ -137,13 +148,12 @@
 	var d mirror.Delta
 	if err := p.bus.Fetch(context.Background(), from, table, base, &d); err != nil {
 		p.log.Warn("table of an entry VM was not read", zap.String("table", table), zap.Stringer("from", from), zap.Error(err))
-	} else {
-		m.Adopt(base, d)
+	} else if m.Adopt(base, d) {
+		p.tell()
 	}
 	p.peers.mu.Lock()
 	defer p.peers.mu.Unlock()
 	p.peers.copying[table] = false
-	delete(p.peers.behind, table)
 }
 
 // rank returns the place of this entry VM among those that report, in the order
@@ -172,9 +182,14 @@
 			continue
 		}
 		last = now
-		if err := p.bus.Send(p.message(), targets); err != nil && ctx.Err() == nil {
-			p.log.Debug("a report was not sent", zap.Error(err))
-		}
+		p.tell()
+	}
+}
+
+// tell sends a report to the other entry VMs now.
+func (p *Process) tell() {
+	if err := p.bus.Send(p.message(), p.peers.addresses()); err != nil {
+		p.log.Debug("a report was not sent", zap.Error(err))
 	}
 }
 
--- a/internal/run/direct/stop.go
+++ b/internal/run/direct/stop.go
@@ -31,7 +31,7 @@
 			p.log.Warn("announcement was not removed, its lease ends by itself", zap.Error(err))
 		}
 	})
-	_ = p.bus.Send(p.message(), p.peers.addresses())
+	p.tell()
 	p.listener.Drain()
 	serveUntil := start + time.Duration(serveShare*float64(p.settings.StopWithin))
 	endAt := start + time.Duration(endShare*float64(p.settings.StopWithin))
--- a/internal/run/mirror/mirror.go
+++ b/internal/run/mirror/mirror.go
@@ -152,13 +152,14 @@
 	return !m.loaded || now >= m.current+m.options.Interval+time.Duration(min(rank, maxRank))*rankDelay
 }
 
-// Read copies the table from the store; one call at a time does.
-func (m *Mirror) Read(ctx context.Context) {
+// Read copies the table from the store and reports whether it had changed; one
+// call at a time does.
+func (m *Mirror) Read(ctx context.Context) bool {
 	m.mu.Lock()
 	if m.reading {
 		m.mu.Unlock()
 
-		return
+		return false
 	}
 	m.reading = true
 	m.mu.Unlock()
@@ -169,9 +170,10 @@
 	if err != nil {
 		m.failed(err)
 
-		return
+		return false
 	}
-	m.replace(items, revision, start)
+
+	return m.replace(items, revision, start)
 }
 
 func (m *Mirror) readAll(ctx context.Context) (map[string]Item, uint64, error) {
@@ -209,7 +211,7 @@
 }
 
 // replace takes over a table that was read at a revision, from start on.
-func (m *Mirror) replace(items map[string]Item, revision uint64, start time.Duration) {
+func (m *Mirror) replace(items map[string]Item, revision uint64, start time.Duration) bool {
 	m.publishing.Lock()
 	defer m.publishing.Unlock()
 	m.mu.Lock()
@@ -222,7 +224,7 @@
 	if m.loaded && revision <= m.now.Revision {
 		m.mu.Unlock()
 
-		return
+		return false
 	}
 	changed := !m.loaded || m.merge(items, revision)
 	m.loaded = true
@@ -233,6 +235,8 @@
 	if changed {
 		m.options.Changed(m.Snapshot())
 	}
+
+	return changed
 }
 
 // merge notes deletions, or keeps the items for now, and reports whether the
--- a/internal/steer/direct/choose.go
+++ b/internal/steer/direct/choose.go
@@ -44,6 +44,7 @@
 	if best == nil {
 		best = other
 	}
+	r.room = best != nil
 	if best != nil && s.mayBeLate(r, best) {
 		return best, true
 	}
--- a/internal/steer/direct/direct.go
+++ b/internal/steer/direct/direct.go
@@ -175,7 +175,7 @@
 	chosen, reachable := s.choose(r)
 	canMake := s.canMake(r)
 	if canMake {
-		s.pressure(r.service).note(chosen != nil)
+		s.pressure(r.service).note(chosen != nil || r.room)
 	}
 	until := holdUntil(r)
 	switch {
--- a/internal/steer/direct/request.go
+++ b/internal/steer/direct/request.go
@@ -35,6 +35,8 @@
 	queued   bool
 	// shed is true when a server refused the request.
 	shed bool
+	// room is true when some server had room at the last choice, in time or not.
+	room bool
 	// unknown is true when a server may have run the request.
 	unknown bool
 }
