--- a/internal/run/direct/entry.go
+++ b/internal/run/direct/entry.go
@@ -32,6 +32,8 @@
 	ordersEvery  = 500 * time.Millisecond
 	serversEvery = 500 * time.Millisecond
 	entriesEvery = 1500 * time.Millisecond
+	// statusEvery is the interval of the lines that show what the entry VM believes.
+	statusEvery = 2 * time.Second
 	// readCheck is how often the age of the copies is looked at.
 	readCheck = 100 * time.Millisecond
 )
@@ -114,6 +116,7 @@
 	p.work.Go(func() { p.tick(ctx) })
 	p.work.Go(func() { p.prune(ctx) })
 	p.work.Go(func() { p.report(ctx) })
+	p.work.Go(func() { p.logStatus(ctx) })
 	select {
 	case <-ctx.Done():
 		return nil
@@ -188,6 +191,24 @@
 	}
 }
 
+// logStatus writes what the entry VM believes about services and routes.
+func (p *Process) logStatus(ctx context.Context) {
+	for range p.clock.Subscribe(ctx, statusEvery) {
+		p.mu.Lock()
+		services, routes := p.state.Services(), p.state.Routes()
+		p.mu.Unlock()
+		for _, s := range services {
+			p.log.Info("service status", zap.String("service", s.Service), zap.Float64("use", s.Use), zap.Float64("pressure", s.Pressure),
+				zap.Int("servers", s.Servers), zap.Int("usable", s.Usable), zap.Int("cold", s.Cold),
+				zap.Int("occupied", s.Occupied), zap.Int("slots", s.Slots), zap.Int("waiting", s.Waiting), zap.Any("parts", s.Parts))
+		}
+		for _, r := range routes {
+			p.log.Info("route status", zap.String("route", r.Route), zap.Duration("first", r.First), zap.Duration("second", r.Second),
+				zap.Duration("other", r.Other), zap.Duration("stay", r.Stay))
+		}
+	}
+}
+
 // readTables keeps the copies of the store's tables young until ctx ends.
 func (p *Process) readTables(ctx context.Context) {
 	for range p.clock.Subscribe(ctx, readCheck) {
--- a/internal/steer/direct/aim.go
+++ b/internal/steer/direct/aim.go
@@ -23,15 +23,13 @@
 	// pressed is the share of requests without room above which requests that
 	// will miss their target are refused at once.
 	pressed = 0.03
-	// lateReserve is the number of slots of a server that requests which will miss
-	// their target leave free.
-	lateReserve = 1
-	// idleShare is the use of a server's slots below which any request may have one:
-	// nobody who could make a target there is kept from it.
-	idleShare = 0.6
-	// optimism is the usual time of an answer relative to the mean, which a few
-	// slow servers and cold objects raise.
-	optimism = 0.85
+	// lateShare is the part of the capacity that the demand leaves free up to which
+	// requests that will miss their target fill a server; above 1, because that
+	// demand is not spread evenly.
+	lateShare = 1.5
+	// freshShare is the part of a route's target within which a caller's request
+	// counts as its first.
+	freshShare = 0.25
 	// returnShare is the part of the time left after which a caller is asked to
 	// come back under pressure; callers wait no longer than a third of it.
 	returnShare = 0.3
@@ -72,24 +70,26 @@
 }
 
 // makes reports whether an answer of a server will be within the target.
-func (s *state) makes(r *request, c *server) bool {
-	took := s.distance(c.Region) + time.Duration(optimism*c.speed(s.now)*float64(s.work(r)))
+func (s *state) makes(r *request, c *server, p place) bool {
+	took := s.distance(c.Region) + s.workAt(r, c, p)
 
 	return s.now+took <= r.aim
 }
 
 // canMake reports whether a request can still make its target at some server.
 func (s *state) canMake(r *request) bool {
-	return s.now+time.Duration(optimism*float64(s.work(r))) <= r.aim
+	return s.now+s.usual(r, firstPlace) <= r.aim
 }
 
-// mayBeLate reports whether a server takes a request that misses its target.
+// mayBeLate reports whether a server takes a request that misses its target: the
+// more of the capacity those ask for who can make theirs, the emptier it must be.
 func (s *state) mayBeLate(r *request, c *server) bool {
-	if float64(c.occupied()) < idleShare*float64(c.Slots) {
-		return true
+	if s.crowded(r.service) {
+		return false
 	}
+	free := min(lateShare*(1-s.uses[r.service]), 1)
 
-	return !s.pressure(r.service).high() && c.occupied() < c.Slots-lateReserve
+	return float64(c.occupied()) < free*float64(c.Slots)
 }
 
 // returnAfter tells a refused caller when to come back.
--- a/internal/steer/direct/attempt.go
+++ b/internal/steer/direct/attempt.go
@@ -54,7 +54,7 @@
 // again gives a request to another server, if time, budget and intent allow it.
 func (s *state) again(r *request, reason Reason) {
 	switch {
-	case s.now+time.Duration(worthwhile*float64(s.work(r))) >= r.until && r.sent > 0:
+	case s.now+time.Duration(worthwhile*float64(s.usual(r, secondPlace))) >= r.until && r.sent > 0:
 		s.giveUp(r, reason)
 	case r.sent >= max(r.route.MaxAttempts, 1):
 		s.giveUp(r, reason)
@@ -93,6 +93,9 @@
 
 // learn updates what is known about a server.
 func (s *state) learn(r *request, to *server, e AttemptEnded) {
+	if e.Outcome == Answered || e.Outcome == Unknown {
+		s.stays[r.route.Name] = s.stays[r.route.Name].With(float64(s.now-r.sentAt), workAlpha)
+	}
 	if e.DialTook > 0 {
 		if old, ok := s.distances[to.Region]; !ok || e.DialTook < old {
 			s.distances[to.Region] = e.DialTook
@@ -125,13 +128,15 @@
 }
 
 func (s *state) learnPace(r *request, to *server) {
-	took := s.now - r.sentAt - s.distance(to.Region)
-	usual := s.work(r)
-	to.pace = to.pace.With(min(float64(took)/float64(usual), 8), slowAlpha)
-	// Long runs are rare and must not make every request seem long.
-	if took < 4*usual || s.works[r.route.Name].Count() == 0 {
-		s.works[r.route.Name] = s.works[r.route.Name].With(float64(max(took, 0)), workAlpha)
+	p := otherPlace
+	if r.route.Sticky {
+		p = s.placeOf(r, to)
 	}
+	took := max(s.now-r.sentAt-s.distance(to.Region), 0)
+	usual := s.usual(r, p)
+	to.pace = to.pace.With(min(float64(took)/float64(usual), longestPace), slowAlpha)
+	times := s.workTimes(r)
+	times[p] = times[p].With(float64(took), usualPercentile, usualStep)
 }
 
 func (s *state) learnCold(to *server, cold option.Option[time.Duration]) {
--- a/internal/steer/direct/direct.go
+++ b/internal/steer/direct/direct.go
@@ -70,12 +70,17 @@
 	entries   []string
 	peers     map[string]peerReport
 
-	requests  map[RequestID]*request
-	queues    map[string]*queue
-	budgets   map[string]*budget
-	demands   map[string]*demand
-	spreads   map[string]*spread
-	works     map[string]ewma.Mean
+	requests map[RequestID]*request
+	queues   map[string]*queue
+	budgets  map[string]*budget
+	demands  map[string]*demand
+	spreads  map[string]*spread
+	works    map[string]*workTimes
+	// stays are the times that requests of a route are in flight, long runs included.
+	stays map[string]ewma.Mean
+	// uses is the demand for each service relative to its slots, by those who ask
+	// for the first time.
+	uses      map[string]float64
 	distances map[string]time.Duration
 	patiences map[string]*patience
 	pressures map[string]*pressure
@@ -98,7 +103,9 @@
 		budgets:   map[string]*budget{},
 		demands:   map[string]*demand{},
 		spreads:   map[string]*spread{},
-		works:     map[string]ewma.Mean{},
+		works:     map[string]*workTimes{},
+		stays:     map[string]ewma.Mean{},
+		uses:      map[string]float64{},
 		distances: map[string]time.Duration{},
 		patiences: map[string]*patience{},
 		pressures: map[string]*pressure{},
@@ -153,8 +160,11 @@
 		r.until = min(r.until, s.now+e.Route.Timeout)
 	}
 	r.aim = s.now + e.Route.Target - callerTransit
+	fresh := true
 	if e.Patience > 0 {
-		r.aim -= entryOf(s.patiences, e.Route.Name, func() *patience { return &patience{} }).elapsed(s.now, e.Patience)
+		elapsed := entryOf(s.patiences, e.Route.Name, func() *patience { return &patience{} }).elapsed(s.now, e.Patience)
+		r.aim -= elapsed
+		fresh = float64(elapsed) <= freshShare*float64(e.Route.Target)
 	}
 	s.sequence += goldenRatio
 	s.sequence -= float64(int(s.sequence))
@@ -166,7 +176,9 @@
 	}
 	s.requests[r.id] = r
 	s.budget(r.service).first(s.now)
-	s.demand(r.service).work += s.work(r)
+	if fresh {
+		s.demand(r.service).work += s.stay(r)
+	}
 	s.place(r)
 }
 
--- a/internal/steer/direct/server.go
+++ b/internal/steer/direct/server.go
@@ -21,8 +21,11 @@
 	// loadFresh is how long a server's report about its speed is believed; it
 	// changes many times a second.
 	loadFresh = 400 * time.Millisecond
-	// slowAlpha weighs one observation of a server's speed: about the last eight.
-	slowAlpha = 0.2
+	// slowAlpha weighs one observation of a server's speed: about the last ten.
+	slowAlpha = 0.1
+	// longestPace bounds one observation, so that a long run, which any server may
+	// get, does not make the server seem slow.
+	longestPace = 2.5
 	// greyFailures is the share of failures above which a server is avoided, and
 	// greySample the observations that it takes.
 	greyFailures = 0.3
--- a/internal/steer/direct/spread.go
+++ b/internal/steer/direct/spread.go
@@ -98,20 +98,33 @@
 	return regions[len(regions)-1], true
 }
 
+// use returns the demand of all regions relative to their slots.
+func use(demands, slots map[string]float64) float64 {
+	total, room := 0.0, 0.0
+	for _, n := range demands {
+		total += n
+	}
+	for _, n := range slots {
+		room += n
+	}
+	if room == 0 {
+		return 1
+	}
+
+	return total / room
+}
+
 // divide returns the parts of the own region's requests that each region should
 // serve: its own up to the target, the rest where room is left.
 func divide(own string, demands, slots map[string]float64) map[string]float64 {
-	total, room := 0.0, 0.0
+	room := 0.0
 	for _, n := range slots {
 		room += n
 	}
-	for _, n := range demands {
-		total += n
-	}
 	if room == 0 {
 		return nil
 	}
-	target := max(localTarget, total/room)
+	target := max(localTarget, use(demands, slots))
 	local := func(region string) float64 {
 		return min(demands[region], slots[region]*target)
 	}
--- a/internal/steer/direct/tick.go
+++ b/internal/steer/direct/tick.go
@@ -106,6 +106,7 @@
 		for _, p := range s.peers {
 			demands[p.Region] += p.Demand[service]
 		}
+		s.uses[service] = use(demands, slots)
 		goal := divide(s.settings.Region, demands, slots)
 		if goal == nil {
 			continue
