Take callers for new that state up to 15 % less patience than the longest

Cause: callers who ask for the first time state 85 to 100 % of the longest patience, so most of them were taken for returning ones and refused under load (use of 0.2 to 0.4 of the slots believed where all were taken). Change: the time since the first attempt counts from 85 % of the longest patience on.

--- a/internal/steer/direct/aim.go
+++ b/internal/steer/direct/aim.go
@@ -14,6 +14,9 @@
 const (
 	// callerTransit is the time between a caller and its entry VM and back.
 	callerTransit = 14 * time.Millisecond
+	// patienceSpread is the part by which the patience of callers differs who ask
+	// for the first time; a refused caller is asked to come back later than that.
+	patienceSpread = 0.15
 	// patienceLife is how long the greatest patience of a route's callers is
 	// remembered.
 	patienceLife = 20 * time.Second
@@ -35,20 +38,24 @@
 	returnShare = 0.3
 )
 
-// patience is the longest wait that callers of a route state; a caller states
-// less when it has asked before.
+// patience is the longest wait that callers of a route state. A caller states
+// less when it has asked before; callers differ by patienceSpread among themselves.
 type patience struct {
 	most time.Duration
 	at   time.Duration
 }
 
-// elapsed returns how long ago a caller asked for the first time.
+// elapsed returns how long ago a caller probably asked for the first time, 0 when
+// it may be now.
 func (p *patience) elapsed(now, stated time.Duration) time.Duration {
 	if stated >= p.most || now > p.at+patienceLife {
 		p.most, p.at = stated, now
 	}
+	if float64(stated) >= (1-patienceSpread)*float64(p.most) {
+		return 0
+	}
 
-	return p.most - stated
+	return time.Duration((1-patienceSpread/2)*float64(p.most)) - stated
 }
 
 // pressure is the share of the requests for a service that found no room while
