--- a/internal/steer/direct/spread.go
+++ b/internal/steer/direct/spread.go
@@ -114,6 +114,22 @@
 	return total / room
 }
 
+// presumedDemands returns the demands that are assumed before the first request:
+// the same of every region, and near what all servers can carry, so that the
+// first division need not move much.
+func presumedDemands(slots map[string]float64) map[string]float64 {
+	room := 0.0
+	for _, n := range slots {
+		room += n
+	}
+	demands := make(map[string]float64, len(slots))
+	for region := range slots {
+		demands[region] = localTarget * room / float64(len(slots))
+	}
+
+	return demands
+}
+
 // divide returns the parts of the own region's requests that each region should
 // serve: its own up to the target, the rest where room is left.
 func divide(own string, demands, slots map[string]float64) map[string]float64 {
--- a/internal/steer/direct/tick.go
+++ b/internal/steer/direct/tick.go
@@ -94,26 +94,50 @@
 func (s *state) moveSpreads(elapsed time.Duration) {
 	for service := range s.byService {
 		d := s.demand(service)
-		d.slots = d.slots.With(float64(d.work)/float64(elapsed), demandAlpha)
-		d.work = 0
-		slots := map[string]float64{}
-		for _, c := range s.byService[service] {
-			if !c.Leaving && !s.evacuated.Has(c.Zone) && (!c.doubtful || c.strikes < 2) {
-				slots[c.Region] += float64(c.Slots)
-			}
-		}
-		demands := map[string]float64{s.settings.Region: d.slots.Value()}
-		for _, p := range s.peers {
-			demands[p.Region] += p.Demand[service]
+		if d.slots.Count() > 0 || d.work > 0 {
+			d.slots = d.slots.With(float64(d.work)/float64(elapsed), demandAlpha)
 		}
+		d.work = 0
+		slots, demands := s.slotsOf(service), s.demandsOf(service, d)
 		s.uses[service] = use(demands, slots)
-		goal := divide(s.settings.Region, demands, slots)
-		if goal == nil {
+		sp := entryOf(s.spreads, service, func() *spread { return &spread{} })
+		if len(demands) == 0 {
+			sp.parts = divide(s.settings.Region, presumedDemands(slots), slots)
+
 			continue
 		}
-		sp := entryOf(s.spreads, service, func() *spread { return &spread{} })
-		sp.towards(goal, spreadPerSecond*elapsed.Seconds())
+		if goal := divide(s.settings.Region, demands, slots); goal != nil {
+			sp.towards(goal, spreadPerSecond*elapsed.Seconds())
+		}
+	}
+}
+
+// slotsOf returns the slots that a service has in each region.
+func (s *state) slotsOf(service string) map[string]float64 {
+	slots := map[string]float64{}
+	for _, c := range s.byService[service] {
+		if !c.Leaving && !s.evacuated.Has(c.Zone) && (!c.doubtful || c.strikes < 2) {
+			slots[c.Region] += float64(c.Slots)
+		}
+	}
+
+	return slots
+}
+
+// demandsOf returns the slots that each region's callers ask of a service; it is
+// empty before the first request.
+func (s *state) demandsOf(service string, own *demand) map[string]float64 {
+	demands := map[string]float64{}
+	if own.slots.Count() > 0 {
+		demands[s.settings.Region] = own.slots.Value()
 	}
+	for _, p := range s.peers {
+		if n := p.Demand[service]; n > 0 {
+			demands[p.Region] += n
+		}
+	}
+
+	return demands
 }
 
 func (s *state) probeDoubtful() {
