--- /dev/null
+++ b/internal/steer/direct/limits_test.go
@@ -0,0 +1,129 @@
+package direct
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// Guards against a cold server that gets more requests in a second than it bears,
+// also when entry VMs disagree about a few of the others.
+func TestColdServersGetNoMoreThanTheyBear(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 100).Draw(t, "entries")
+		perSecond := float64(rapid.IntRange(5, 40).Draw(t, "rate"))
+		unknown := rapid.IntRange(0, n/6).Draw(t, "unknown")
+		var all []string
+		for i := range n {
+			all = append(all, fmt.Sprint("entry-", i))
+		}
+		most := 0
+		for i, self := range all {
+			// Some entry VMs do not know of the last ones.
+			known := all
+			if i%2 == 0 && i < n-unknown {
+				known = all[:n-unknown]
+			}
+			rate := coldRate(self, "server", known, perSecond)
+			sent := 0
+			for at := time.Duration(0); rate > 0 && at < time.Second; at = paceCold(at, rate) {
+				sent++
+			}
+			most += sent
+		}
+		require.LessOrEqual(t, float64(most), perSecond)
+	})
+}
+
+// Guards against repeated attempts beyond the budget in any window.
+func TestRetriesStayWithinTheBudget(t *testing.T) {
+	t.Parallel()
+	const (
+		window    = 10 * time.Second
+		ratio     = 0.2
+		allowance = 6.0
+	)
+	rapid.Check(t, func(t *rapid.T) {
+		b := budget{width: window / budgetCells}
+		var firsts, again []time.Duration
+		now := time.Duration(0)
+		for range 400 {
+			now += time.Duration(rapid.IntRange(0, 200).Draw(t, "ms")) * time.Millisecond
+			if rapid.IntRange(0, 2).Draw(t, "kind") == 0 {
+				b.first(now)
+				firsts = append(firsts, now)
+			} else if b.take(now, ratio, allowance) {
+				again = append(again, now)
+			}
+		}
+		for _, end := range again {
+			require.LessOrEqual(t, float64(within(again, end, window)), ratio*float64(within(firsts, end, 2*window))+allowance)
+		}
+	})
+}
+
+func within(times []time.Duration, end, window time.Duration) int {
+	n := 0
+	for _, at := range times {
+		if at <= end && at > end-window {
+			n++
+		}
+	}
+
+	return n
+}
+
+// Guards against a division that moves faster than operators allow, or that loses
+// a part of the requests.
+func TestDivisionMovesSlowlyAndStaysWhole(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		draw := func(name string) map[string]float64 {
+			out := map[string]float64{}
+			for _, r := range []string{"a", "b", "c"} {
+				out[r] = float64(rapid.IntRange(1, 100).Draw(t, name+r))
+			}
+
+			return out
+		}
+		slots := draw("slots")
+		s := spread{parts: divide("a", presumedDemands(slots), slots)}
+		for range 20 {
+			before := s.parts
+			s.towards(divide("a", draw("demand"), slots), 0.05)
+			sum, moved := 0.0, 0.0
+			for region, part := range s.parts {
+				sum += part
+				moved += math.Abs(part-before[region]) / 2
+			}
+			require.InDelta(t, 1, sum, 1e-9)
+			require.LessOrEqual(t, moved, 0.05+1e-9)
+		}
+	})
+}
+
+// Guards against the start of traffic at which a region with few servers took all
+// its callers for itself and moved a third of them within seconds.
+func TestDivisionStartsNearItsGoal(t *testing.T) {
+	t.Parallel()
+	slots := map[string]float64{"small": 12, "b": 66, "c": 66}
+	parts := divide("small", presumedDemands(slots), slots)
+	goal := divide("small", map[string]float64{"small": 40, "b": 40, "c": 40}, slots)
+	require.InDelta(t, goal["small"], parts["small"], 0.15)
+}
+
+// Guards against callers who ask for the first time and are taken for returning
+// ones, because they state a little less patience than others.
+func TestElapsedTimeAllowsForDifferentPatience(t *testing.T) {
+	t.Parallel()
+	p := &patience{}
+	require.Zero(t, p.elapsed(0, 3*time.Second))
+	require.Zero(t, p.elapsed(0, 2600*time.Millisecond))
+	require.Greater(t, p.elapsed(0, 2*time.Second), 500*time.Millisecond)
+	require.Zero(t, p.elapsed(2*patienceLife, 2*time.Second), "the longest patience is forgotten in time")
+}
--- a/internal/steer/direct/spread.go
+++ b/internal/steer/direct/spread.go
@@ -41,7 +41,7 @@
 		return
 	}
 	for region, part := range s.parts {
-		if part > 0 && goal[region] == 0 {
+		if _, served := goal[region]; part > 0 && !served {
 			s.parts = goal
 
 			return
