--- a/internal/wire/gossip/gossip.go
+++ b/internal/wire/gossip/gossip.go
@@ -49,6 +49,7 @@
 
 // Bus exchanges messages and tables with the other entry VMs.
 type Bus struct {
+	ip  netip.Addr
 	udp *net.UDPConn
 	tcp net.Listener
 	// copyPort is the port at which every entry VM serves its tables.
@@ -82,7 +83,7 @@
 		return nil, fmt.Errorf("listen for tables: %w", err)
 	}
 
-	return &Bus{udp: udp, tcp: tcp, copyPort: tables, receive: h.Receive, table: h.Table, listed: map[netip.Addr]struct{}{}}, nil
+	return &Bus{ip: ip, udp: udp, tcp: tcp, copyPort: tables, receive: h.Receive, table: h.Table, listed: map[netip.Addr]struct{}{}}, nil
 }
 
 // SetListed replaces the addresses of the entry VMs.
@@ -190,7 +191,8 @@
 func (b *Bus) Fetch(ctx context.Context, ip netip.Addr, table string, since uint64, v any) error {
 	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
 	defer cancel()
-	var dialer net.Dialer
+	// The others hear only the addresses that are listed as entry VMs.
+	dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: b.ip.AsSlice()}}
 	conn, err := dialer.DialContext(ctx, "tcp4", netip.AddrPortFrom(ip.Unmap(), b.copyPort).String())
 	if err != nil {
 		return fmt.Errorf("connect to entry VM %s: %w", ip, err)
--- /dev/null
+++ b/internal/wire/http1/pool_test.go
@@ -0,0 +1,212 @@
+package http1_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/greengagetally/greengagetally/internal/wire/http1"
+)
+
+// scripted answers the requests of each connection with the next texts; an empty
+// text closes the connection. "%s" stands for the request's identifier.
+func scripted(t *testing.T, connections ...[]string) (address string, received chan *http.Request) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	received = make(chan *http.Request, 16)
+	go func() {
+		for _, texts := range connections {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				in := bufio.NewReader(c)
+				for _, text := range texts {
+					r, err := http.ReadRequest(in)
+					if err != nil {
+						return
+					}
+					if _, err := io.ReadAll(r.Body); err != nil {
+						return
+					}
+					received <- r
+					if text == "" {
+						return
+					}
+					if _, err := io.WriteString(c, fmt.Sprintf(text, r.Header.Get("Request-Id"))); err != nil {
+						return
+					}
+				}
+				_, _ = io.Copy(io.Discard, in)
+			}()
+		}
+	}()
+
+	return l.Addr().String(), received
+}
+
+func request(id string) *http1.Request {
+	return &http1.Request{Method: http.MethodGet, Target: "/a/b?c=%20", Host: "host", ID: id, Header: http.Header{"Request-Id": {id}}}
+}
+
+func do(t *testing.T, p *http1.Pool, address, id string) http1.Result {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), testWait)
+	defer cancel()
+
+	return p.Do(ctx, http1.Target{Instance: "i", Address: address}, request(id))
+}
+
+const whole = "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nContent-Length: 2\r\nLoad: 3,1,6,150\r\n\r\nok"
+
+// Guards against answers that reach another request, seem complete though they
+// are not, or are taken for "not run" without the server's word.
+func TestAttemptOutcomes(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		name    string
+		answer  string
+		outcome http1.Outcome
+		body    string
+	}{
+		{"whole", whole, http1.Answered, "ok"},
+		{"chunks", "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", http1.Answered, "ok"},
+		{"after another's answer", "HTTP/1.1 200 OK\r\nRequest-Id: other\r\nContent-Length: 3\r\n\r\nbad" + whole, http1.Answered, "ok"},
+		{"after an interim answer", "HTTP/1.1 100 Continue\r\n\r\n" + whole, http1.Answered, "ok"},
+		{"truncated", "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nContent-Length: 9\r\nConnection: close\r\n\r\nok", http1.Unknown, ""},
+		{"no answer", "", http1.Unknown, ""},
+		{"no protocol", "nonsense %s\r\n\r\n", http1.Unknown, ""},
+		{"refused", "HTTP/1.1 503 No\r\nRequest-Id: %s\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", http1.NotRun, ""},
+		{"another instance", "HTTP/1.1 421 No\r\nRequest-Id: %s\r\nContent-Length: 0\r\n\r\n", http1.NotRun, ""},
+		{"own failure", "HTTP/1.1 503 No\r\nRequest-Id: %s\r\nContent-Length: 0\r\n\r\n", http1.Answered, ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			address := scriptedOnce(t, c.answer)
+			result := do(t, http1.NewPool(testNames), address, "1")
+			require.Equal(t, c.outcome, result.Outcome, "%v", result.Err)
+			require.Equal(t, c.body, string(result.Response.Body))
+		})
+	}
+}
+
+// scriptedOnce answers one request and closes the connection.
+func scriptedOnce(t *testing.T, answer string) string {
+	t.Helper()
+	if answer == "" {
+		address, _ := scripted(t, []string{""})
+
+		return address
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = c.Close() }()
+		r, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, fmt.Sprintf(answer, r.Header.Get("Request-Id")))
+	}()
+
+	return l.Addr().String()
+}
+
+// Guards against a request that was not sent but counts as one that may have run.
+func TestRefusedConnectionIsNotSent(t *testing.T) {
+	t.Parallel()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, l.Close())
+	require.Equal(t, http1.NotSent, do(t, http1.NewPool(testNames), l.Addr().String(), "1").Outcome)
+}
+
+// Guards against connections that are opened for every request, and against
+// requests that arrive changed.
+func TestConnectionIsUsedAgain(t *testing.T) {
+	t.Parallel()
+	address, received := scripted(t, []string{whole, whole})
+	p := http1.NewPool(testNames)
+	for _, id := range []string{"1", "2"} {
+		result := do(t, p, address, id)
+		require.Equal(t, http1.Answered, result.Outcome, "%v", result.Err)
+		load, ok := result.Load.Get()
+		require.True(t, ok)
+		require.Equal(t, http1.Load{Running: 3, Waiting: 1, Slots: 6, Slowdown: 1.5}, load)
+		r := <-received
+		require.Equal(t, "/a/b?c=%20", r.RequestURI)
+		require.Equal(t, "host", r.Host)
+		require.Equal(t, "i", r.Header.Get("Expect-Instance"))
+		require.NotEmpty(t, r.Header.Get("Deadline-Ms"))
+	}
+	require.EqualValues(t, 1, p.Opened())
+}
+
+// Guards against a kept connection with surplus bytes, and one that its server has
+// closed: the next request must not meet either.
+func TestUnsoundConnectionsAreNotUsedAgain(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		name  string
+		first []string
+	}{
+		{"surplus bytes", []string{whole + "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nbad"}},
+		{"closed by the server", []string{"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			address, _ := scripted(t, c.first, []string{whole})
+			p := http1.NewPool(testNames)
+			for _, id := range []string{"1", "2"} {
+				result := do(t, p, address, id)
+				require.Equal(t, http1.Answered, result.Outcome, "%v", result.Err)
+				require.Equal(t, "ok", string(result.Response.Body))
+			}
+			require.EqualValues(t, 2, p.Opened())
+		})
+	}
+}
+
+// Guards against work that goes on at a server after the caller has left.
+func TestCancelledAttemptClosesItsConnection(t *testing.T) {
+	t.Parallel()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = c.Close() }()
+		_ = c.SetDeadline(time.Now().Add(testWait))
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+			return
+		}
+		cancel()
+		_, _ = io.Copy(io.Discard, c)
+	}()
+	result := http1.NewPool(testNames).Do(ctx, http1.Target{Instance: "i", Address: l.Addr().String()}, request("1"))
+	require.Equal(t, http1.Unknown, result.Outcome)
+	require.False(t, result.TimedOut)
+	<-ended
+}
