--- a/internal/run/direct/entry.go
+++ b/internal/run/direct/entry.go
@@ -54,6 +54,9 @@
 	mirrors  map[string]*mirror.Mirror
 	peers    *peers
 
+	// ctx ends with the process.
+	ctx context.Context
+
 	intent   atomic.Pointer[intent.Intent]
 	stopping atomic.Bool
 	held     atomic.Int64
@@ -75,6 +78,7 @@
 			Requests: settings.Requests, Reports: netip.AddrPortFrom(settings.Requests.Addr(), settings.Reports),
 		},
 		started: clock.Wall().UnixNano(),
+		ctx:     ctx,
 		state:   steer.New(settings.Steering),
 		waiting: map[steer.RequestID]chan steer.Effect{},
 		pool:    http1.NewPool(d.Names()),
@@ -125,6 +129,17 @@
 	}
 }
 
+// Reload puts changed settings in force; addresses stay as they are.
+func (p *Process) Reload(settings Settings) {
+	p.mu.Lock()
+	settings.Steering.Seed = p.settings.Steering.Seed
+	p.settings.Steering, p.settings.LookupTTL, p.settings.StopWithin = settings.Steering, settings.LookupTTL, settings.StopWithin
+	p.reduce(steer.SettingsChanged{At: p.at(), Settings: settings.Steering})
+	p.mu.Unlock()
+	p.log.Info("settings in force", zap.Duration("lookup-ttl", settings.LookupTTL), zap.Duration("stop-within", settings.StopWithin),
+		zap.Float64("retry-ratio", settings.Steering.RetryRatio), zap.Float64("warmup-factor", settings.Steering.WarmupFactor))
+}
+
 // Ready reports whether callers should be sent here.
 func (p *Process) Ready() bool {
 	return !p.stopping.Load() && p.intent.Load() != nil && p.mirrors[TableServers].Loaded()
@@ -239,7 +254,7 @@
 const probeTimeout = time.Second
 
 func (p *Process) probe(e steer.Probe) {
-	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	ctx, cancel := context.WithTimeout(p.ctx, probeTimeout)
 	defer cancel()
 	health, err := p.pool.Probe(ctx, http1.Target{Instance: e.Server.ID, Address: e.Server.Address}, e.Path)
 	ended := steer.ProbeEnded{At: p.at(), Server: e.Server.ID, Cold: health.Cold}
--- a/internal/run/direct/peers.go
+++ b/internal/run/direct/peers.go
@@ -106,7 +106,7 @@
 		p.log.Info("entry VM reports", zap.String("entry", m.Name), zap.Stringer("address", from))
 	}
 	p.apply(steer.PeerReported{At: steer.At(now), Peer: m.Name, Report: steer.Report{
-		InFlight: m.InFlight, Demand: m.Demand, Region: m.Region,
+		InFlight: m.InFlight, Demand: m.Demand, Region: m.Region, Suspects: m.Suspects,
 	}})
 	for table, t := range m.Tables {
 		p.compareTable(now, table, t, m.Region, from.Addr())
@@ -146,7 +146,7 @@
 	m := p.mirrors[table]
 	base, _, _ := m.Status()
 	var d mirror.Delta
-	if err := p.bus.Fetch(context.Background(), from, table, base, &d); err != nil {
+	if err := p.bus.Fetch(p.ctx, from, table, base, &d); err != nil {
 		p.log.Warn("table of an entry VM was not read", zap.String("table", table), zap.Stringer("from", from), zap.Error(err))
 	} else if m.Adopt(base, d) {
 		p.tell()
@@ -206,7 +206,7 @@
 
 	return gossip.Message{
 		Name: p.self.Name, Started: p.started, Ready: p.Ready(), Zone: p.self.Zone, Region: p.self.Region,
-		Requests: p.self.Requests.String(), Tables: tables, InFlight: report.InFlight, Demand: report.Demand,
+		Requests: p.self.Requests.String(), Tables: tables, InFlight: report.InFlight, Demand: report.Demand, Suspects: report.Suspects,
 	}
 }
 
@@ -269,5 +269,9 @@
 	}
 	slices.Sort(chosen)
 
-	return Named{Addresses: chosen[:min(len(chosen), maxNamed)], TTL: p.settings.LookupTTL}
+	p.mu.Lock()
+	ttl := p.settings.LookupTTL
+	p.mu.Unlock()
+
+	return Named{Addresses: chosen[:min(len(chosen), maxNamed)], TTL: ttl}
 }
--- a/internal/run/direct/serve.go
+++ b/internal/run/direct/serve.go
@@ -34,6 +34,10 @@
 	route   string
 	arrived time.Duration
 	effects chan steer.Effect
+	version uint64
+	// sent is the newest decision to send, and attempts counts them.
+	sent     steer.Send
+	attempts int
 	// last is the newest complete answer of a server.
 	last *http1.Response
 }
@@ -67,7 +71,7 @@
 	if patience <= 0 {
 		patience = defaultPatience
 	}
-	e := &exchange{Process: p, x: x, route: route.Name, arrived: now, effects: make(chan steer.Effect, effectsAhead)}
+	e := &exchange{Process: p, x: x, route: route.Name, version: in.Version, arrived: now, effects: make(chan steer.Effect, effectsAhead)}
 	p.mu.Lock()
 	p.lastID++
 	e.id = p.lastID
@@ -92,13 +96,16 @@
 			holding = nil
 			switch f := effect.(type) {
 			case steer.Send:
+				e.sent = f
+				e.attempts++
 				if e.attempt(f) {
 					return
 				}
 			case steer.Hold:
 				holding = time.After(f.Until - e.clock.Now())
 			case steer.Refuse:
-				e.refuse(e.x, f.Reason, f.RetryAfter)
+				e.refuse(e.x, f.Reason, f.RetryAfter, e.fields(
+					zap.Float64("use", f.Use), zap.Float64("pressure", f.Pressure), zap.Duration("left", f.Left))[1:]...)
 
 				return
 			case steer.Relay:
@@ -154,10 +161,8 @@
 		e.last = &result.Response
 	}
 	if result.Outcome != http1.Answered || result.Response.Status >= http.StatusInternalServerError {
-		e.log.Info("attempt failed", zap.String("request", e.x.ID), zap.String("route", e.route),
-			zap.String("server", f.Server.ID), zap.String("address", f.Server.Address),
-			zap.Int("occupied", f.Occupied), zap.Int("limit", f.Limit), zap.Stringer("outcome", result.Outcome),
-			zap.Int("status", result.Response.Status), zap.Bool("timed-out", result.TimedOut), zap.Error(result.Err))
+		e.log.Info("attempt failed", e.fields(zap.String("address", f.Server.Address), zap.Stringer("outcome", result.Outcome),
+			zap.Int("status", result.Response.Status), zap.Bool("timed-out", result.TimedOut), zap.Error(result.Err))...)
 	}
 	e.apply(ended(e.at(), e.id, result))
 	// A streamed answer needs its context until it is relayed.
@@ -198,20 +203,29 @@
 	return out
 }
 
-// finish counts a request that got an answer.
+// finish counts and logs a request that ended.
 func (e *exchange) finish(outcome string, status int) {
 	took := e.clock.Now() - e.arrived
 	e.metrics.Served(e.route+"/"+outcome, took)
-	if e.log.Core().Enabled(zap.DebugLevel) {
-		e.log.Debug("request ended", zap.String("request", e.x.ID), zap.String("outcome", outcome), zap.Int("status", status), zap.Duration("took", took))
-	}
+	e.log.Info("request ended", e.fields(zap.String("outcome", outcome), zap.Int("status", status))...)
+}
+
+// fields are what decided about the request.
+func (e *exchange) fields(more ...zap.Field) []zap.Field {
+	return append([]zap.Field{
+		zap.String("request", e.x.ID), zap.String("route", e.route), zap.Uint64("version", e.version),
+		zap.Duration("took", e.clock.Now()-e.arrived), zap.Int("attempts", e.attempts),
+		zap.String("server", e.sent.Server.ID), zap.String("zone", e.sent.Server.Zone),
+		zap.Int("occupied", e.sent.Occupied), zap.Int("limit", e.sent.Limit),
+	}, more...)
 }
 
 // refuse tells a caller that its request has not run and when to come back.
-func (p *Process) refuse(x *http1.Exchange, reason steer.Reason, after time.Duration) {
+func (p *Process) refuse(x *http1.Exchange, reason steer.Reason, after time.Duration, inputs ...zap.Field) {
 	p.metrics.Refused("not-run", string(reason))
-	p.log.Info("request refused", zap.String("request", x.ID), zap.String("reason", string(reason)),
-		zap.Duration("retry-after", after))
+	p.log.Info("request refused", append([]zap.Field{
+		zap.String("request", x.ID), zap.String("reason", string(reason)), zap.Duration("retry-after", after),
+	}, inputs...)...)
 	r := answer(http.StatusServiceUnavailable, x.ID, p.deployment.Names())
 	r.Header.Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
 	x.Respond(r)
@@ -224,8 +238,7 @@
 		status = http.StatusGatewayTimeout
 	}
 	e.metrics.Refused("unknown", string(f.Reason))
-	e.log.Info("request failed", zap.String("request", e.x.ID), zap.String("route", e.route),
-		zap.String("reason", string(f.Reason)), zap.Int("status", status), zap.Duration("took", e.clock.Now()-e.arrived))
+	e.log.Info("request failed", e.fields(zap.String("reason", string(f.Reason)), zap.Int("status", status))...)
 	e.x.Respond(answer(status, e.x.ID, e.deployment.Names()))
 }
 
--- a/internal/run/direct/stop.go
+++ b/internal/run/direct/stop.go
@@ -23,6 +23,9 @@
 func (p *Process) Stop(ctx context.Context) {
 	start := p.clock.Now()
 	p.stopping.Store(true)
+	p.mu.Lock()
+	within := p.settings.StopWithin
+	p.mu.Unlock()
 	p.log.Info("stop requested", zap.Int("connections", p.listener.Open()))
 	p.work.Go(func() {
 		withdrawCtx, cancel := context.WithTimeout(ctx, withdrawTimeout)
@@ -33,8 +36,8 @@
 	})
 	p.tell()
 	p.listener.Drain()
-	serveUntil := start + time.Duration(serveShare*float64(p.settings.StopWithin))
-	endAt := start + time.Duration(endShare*float64(p.settings.StopWithin))
+	serveUntil := start + time.Duration(serveShare*float64(within))
+	endAt := start + time.Duration(endShare*float64(within))
 	for now := range p.clock.Subscribe(ctx, stopPoll) {
 		if now >= endAt || now >= serveUntil && p.listener.Open() == 0 {
 			break
--- a/internal/run/logging/logging.go
+++ b/internal/run/logging/logging.go
@@ -22,6 +22,32 @@
 	flushInterval = 500 * time.Millisecond
 )
 
+// linesPerSecond bounds the lines of each kind that NewBounded writes; an entry
+// VM of a small fleet answers fewer requests a second.
+const linesPerSecond = 200
+
+// closeTimeout bounds the wait for the output at the end of a process.
+const closeTimeout = 200 * time.Millisecond
+
+// NewBounded returns a logger whose volume is bounded and which never waits for
+// its output, and the function that writes out what is buffered.
+func NewBounded(out io.Writer, format, level string) (*zap.Logger, func(), error) {
+	detached := NewDetached(out)
+	logger, flush, err := New(detached, format, level)
+	if err != nil {
+		return nil, nil, err
+	}
+	logger = logger.WithOptions(zap.WrapCore(func(core zapcore.Core) zapcore.Core { return Limited(core, linesPerSecond) }))
+
+	return logger, func() {
+		flush()
+		within := make(chan struct{})
+		timer := time.AfterFunc(closeTimeout, func() { close(within) })
+		defer timer.Stop()
+		detached.Close(within)
+	}, nil
+}
+
 // New returns a logger and the function that writes out what is buffered.
 func New(out io.Writer, format, level string) (*zap.Logger, func(), error) {
 	at, err := zapcore.ParseLevel(level)
--- a/internal/steer/direct/attempt.go
+++ b/internal/steer/direct/attempt.go
@@ -56,7 +56,7 @@
 	switch {
 	case s.now+time.Duration(worthwhile*float64(s.usual(r, secondPlace))) >= r.until && r.sent > 0:
 		s.giveUp(r, reason)
-	case r.sent >= max(r.route.MaxAttempts, 1):
+	case r.sent >= max(r.route.MaxAttempts, 1), s.suspects.refuses(s.now, r.fingerprint):
 		s.giveUp(r, reason)
 	case r.sent > 0 && !s.takeRetry(r):
 		s.giveUp(r, ReasonRetryBudget)
@@ -105,6 +105,11 @@
 		to.slowdown, to.slowdownAt, to.waiting = load.Slowdown, s.now, load.Waiting
 	}
 	s.learnCold(to, e.Cold)
+	if e.Outcome == Unknown && !e.TimedOut {
+		s.suspects.lose(s.now, r.fingerprint, s.suspects[r.fingerprint].lost+1)
+	} else if e.Outcome == Answered {
+		s.suspects.clear(r.fingerprint)
+	}
 	switch {
 	case e.OtherInstance:
 		to.Leaving = true
--- a/internal/steer/direct/choose.go
+++ b/internal/steer/direct/choose.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"math"
 	"time"
 
 	"github.com/greengagetally/greengagetally/internal/value/ewma"
@@ -142,7 +143,7 @@
 // cost returns the time until the answer of a server and the price of the slot,
 // if the server takes the request now.
 func (s *state) cost(r *request, c *server, p place) (time.Duration, bool) {
-	if c.occupied() >= c.limit() {
+	if c.occupied() >= c.limit() || c.own >= s.connections(r.service) {
 		return 0, false
 	}
 	r.room = true
@@ -161,6 +162,20 @@
 	return cost, true
 }
 
+// connections returns how many connections to one server of a service this entry
+// VM may hold in use: its part of half the operators' limit, since others are idle.
+func (s *state) connections(service string) int {
+	limit := 0
+	if s.intent != nil {
+		limit = s.intent.Services[service].MaxConnections
+	}
+	if limit <= 0 {
+		return math.MaxInt
+	}
+
+	return max(limit/(2*max(len(s.entries), 1)), 1)
+}
+
 // eligible reports whether a request may be sent to a server now.
 func (s *state) eligible(c *server, r *request) bool {
 	return c.usable(s.now) && !s.evacuated.Has(c.Zone) && r.permits(c.Region) && !r.tried(c.ID)
--- a/internal/steer/direct/direct.go
+++ b/internal/steer/direct/direct.go
@@ -84,6 +84,7 @@
 	distances map[string]time.Duration
 	patiences map[string]*patience
 	pressures map[string]*pressure
+	suspects  suspects
 	sequence  float64
 
 	out []Effect
@@ -109,6 +110,7 @@
 		distances: map[string]time.Duration{},
 		patiences: map[string]*patience{},
 		pressures: map[string]*pressure{},
+		suspects:  suspects{},
 	}}
 }
 
@@ -139,6 +141,8 @@
 		s.evacuated = e.Zones
 	case EntriesKnown:
 		s.entries = e.Names
+	case SettingsChanged:
+		s.settings = e.Settings
 	case Tick:
 		s.tick()
 	}
@@ -153,7 +157,7 @@
 // arrive decides about a new request.
 func (s *state) arrive(e RequestArrived) {
 	r := &request{
-		id: e.ID, route: e.Route, arrived: s.now, until: e.Until, fingerprint: e.Fingerprint,
+		id: e.ID, route: e.Route, arrived: s.now, until: e.Until - answerMargin, fingerprint: e.Fingerprint,
 		service: e.Route.Pick(s.random.Float64()),
 	}
 	if e.Route.Timeout > 0 {
@@ -175,6 +179,11 @@
 		r.point = float64(rendezvous.Mix(r.objectHash)>>11) / (1 << 53)
 	}
 	s.requests[r.id] = r
+	if s.suspects.refuses(s.now, r.fingerprint) {
+		s.refuse(r, ReasonSuspect)
+
+		return
+	}
 	s.budget(r.service).first(s.now)
 	if fresh {
 		s.demand(r.service).work += s.stay(r)
@@ -227,7 +236,10 @@
 
 func (s *state) refuse(r *request, reason Reason) {
 	s.forget(r)
-	s.emit(Refuse{ID: r.id, Reason: reason, RetryAfter: s.returnAfter(r)})
+	s.emit(Refuse{
+		ID: r.id, Reason: reason, RetryAfter: s.returnAfter(r),
+		Use: s.uses[r.service], Pressure: s.pressure(r.service).share.Value(), Left: r.aim - s.now,
+	})
 }
 
 func (s *state) forget(r *request) {
--- a/internal/steer/direct/event.go
+++ b/internal/steer/direct/event.go
@@ -58,6 +58,8 @@
 type Report struct {
 	// InFlight counts its requests at each server, by Key.
 	InFlight map[uint32]int
+	// Suspects count the servers lost in a row by requests with the same content.
+	Suspects map[uint64]int
 	// Demand is the number of slots that its callers ask for, by service name.
 	Demand map[string]float64
 	Region string
@@ -155,6 +157,12 @@
 		Healthy bool
 		Cold    option.Option[time.Duration]
 	}
+	// SettingsChanged replaces the settings.
+	SettingsChanged struct {
+		At
+
+		Settings Settings
+	}
 	// Tick lets time pass.
 	Tick struct{ At }
 )
@@ -203,6 +211,10 @@
 		ID         RequestID
 		Reason     Reason
 		RetryAfter time.Duration
+		// Use and Pressure are the demand for the service relative to its slots and
+		// the share of requests without room; Left is the time until the target.
+		Use, Pressure float64
+		Left          time.Duration
 	}
 	// Relay hands the newest complete answer to the caller.
 	Relay struct{ ID RequestID }
--- a/internal/steer/direct/limits_test.go
+++ b/internal/steer/direct/limits_test.go
@@ -127,3 +127,19 @@
 	require.Greater(t, p.elapsed(0, 2*time.Second), 500*time.Millisecond)
 	require.Zero(t, p.elapsed(2*patienceLife, 2*time.Second), "the longest patience is forgotten in time")
 }
+
+// Guards against a request that crashes one server after the other, and against
+// refusing a request because of losses that had other causes.
+func TestRequestsThatLoseServersAreRefused(t *testing.T) {
+	t.Parallel()
+	s := suspects{}
+	for i := range suspectLosses {
+		require.False(t, s.refuses(0, 1))
+		s.lose(0, 1, i+1)
+	}
+	require.True(t, s.refuses(0, 1))
+	require.False(t, s.refuses(0, 2))
+	require.False(t, s.refuses(suspectLife, 1), "the refusal ends")
+	s.clear(1)
+	require.False(t, s.refuses(0, 1), "an answer clears the suspicion")
+}
--- a/internal/steer/direct/tick.go
+++ b/internal/steer/direct/tick.go
@@ -44,6 +44,11 @@
 	if old, ok := s.peers[e.Peer]; ok {
 		s.addOthers(old.Report, -1)
 	}
+	for fingerprint, lost := range e.Report.Suspects {
+		if of, known := s.suspects[fingerprint]; !known || of.lost < lost {
+			s.suspects.lose(s.now, fingerprint, lost)
+		}
+	}
 	s.peers[e.Peer] = peerReport{Report: e.Report, at: s.now}
 	s.addOthers(e.Report, 1)
 	for service, q := range s.queues {
@@ -84,6 +89,7 @@
 	if elapsed <= 0 {
 		return
 	}
+	s.suspects.forget(s.now)
 	s.moveSpreads(elapsed)
 	s.probeDoubtful()
 	for service := range s.queues {
@@ -173,7 +179,7 @@
 
 // Report returns what the other entry VMs should know.
 func (s State) Report() Report {
-	r := Report{InFlight: map[uint32]int{}, Demand: map[string]float64{}, Region: s.settings.Region}
+	r := Report{InFlight: map[uint32]int{}, Suspects: s.suspects.counts(), Demand: map[string]float64{}, Region: s.settings.Region}
 	for _, c := range s.servers {
 		if c.own > 0 {
 			r.InFlight[c.key] = c.own
--- a/internal/wire/gossip/gossip.go
+++ b/internal/wire/gossip/gossip.go
@@ -38,6 +38,8 @@
 	Tables   map[string]Table   `cbor:"7,keyasint"`
 	InFlight map[uint32]int     `cbor:"8,keyasint"`
 	Demand   map[string]float64 `cbor:"9,keyasint"`
+	// Suspects count the servers lost by requests with the same content.
+	Suspects map[uint64]int `cbor:"10,keyasint,omitempty"`
 }
 
 // Table describes a copy of one of the store's tables.
--- a/internal/wire/http1/attempt.go
+++ b/internal/wire/http1/attempt.go
@@ -92,7 +92,7 @@
 
 		return Result{Outcome: outcome, Err: fmt.Errorf("send to backend server: %w", err)}
 	}
-	resp, err := p.readAnswer(c, r)
+	resp, err := p.readAnswer(c, r) //nolint:bodyclose // The body is read to its end, or closed as the rest.
 	if err != nil {
 		return Result{Outcome: Unknown, Err: err}
 	}
@@ -227,7 +227,7 @@
 		}
 	}
 	if deadline, ok := ctx.Deadline(); ok {
-		left := max(time.Until(deadline).Milliseconds(), 1) //nolint:forbidigo // Deadlines of connections are wall-clock times.
+		left := max(time.Until(deadline).Milliseconds(), 1)
 		line(p.names.Deadline, ": ", strconv.FormatInt(left, 10))
 	}
 	if to.Instance != "" {
--- a/internal/wire/http1/caller.go
+++ b/internal/wire/http1/caller.go
@@ -207,16 +207,13 @@
 	}
 	r, err := http.ReadRequest(c.in)
 	c.limit.left = -1
-	var timeout net.Error
-	switch {
-	case errors.Is(err, errTooLong):
-		return nil, http.StatusRequestHeaderFieldsTooLarge, nil
-	case errors.As(err, &timeout) && timeout.Timeout():
-		return nil, http.StatusRequestTimeout, nil
-	case err != nil && (errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &timeout)):
-		return nil, 0, fmt.Errorf("read request: %w", err)
-	case err != nil:
-		return nil, http.StatusBadRequest, nil
+	if err != nil {
+		status := refusal(err)
+		if status == 0 {
+			return nil, 0, fmt.Errorf("read request: %w", err)
+		}
+
+		return nil, status, nil
 	}
 	body, status, err := c.readBody(r, bounds)
 	if status != 0 || err != nil {
@@ -241,6 +238,22 @@
 	return c.push(req), 0, nil
 }
 
+// refusal returns the status for a request that cannot be read, or 0 when the
+// caller is gone.
+func refusal(err error) int {
+	var network net.Error
+	switch {
+	case errors.Is(err, errTooLong):
+		return http.StatusRequestHeaderFieldsTooLarge
+	case errors.As(err, &network) && network.Timeout():
+		return http.StatusRequestTimeout
+	case errors.As(err, &network), errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
+		return 0
+	}
+
+	return http.StatusBadRequest
+}
+
 // readBody returns the whole body, or the status that refuses it.
 func (c *callerConn) readBody(r *http.Request, bounds Bounds) ([]byte, int, error) {
 	if r.ContentLength == 0 {
