Divide among regions from presumed demands after every start; tell sums of regions

Change: the first division follows from presumed demands; at most 12 % of requests leave their region without a fault; gone entry VMs count for a minute; from 16 entry VMs on, one of each region tells the other regions its sums.

--- a/internal/run/direct/peers.go
+++ b/internal/run/direct/peers.go
@@ -20,6 +20,18 @@
 	// VMs; it grows with the fleet, so that the cost of a VM does not.
 	reportEvery = 100 * time.Millisecond
 	reportFleet = 16
+	// wholeFleet is the number of entry VMs from which one of each region tells the
+	// other regions its sums; below, all tell all.
+	wholeFleet = 16
+	// presenceEvery is how often the others show the other regions that they live.
+	presenceEvery = 700 * time.Millisecond
+	// reportsOld is the age from which a report is not part of a sum.
+	reportsOld = 1200 * time.Millisecond
+	// rememberFor is how long an entry VM that is gone still counts in the division
+	// of what all may do together: it may be alive and out of reach.
+	rememberFor = time.Minute
+	// forgetAfter is the silence after which an entry VM is forgotten.
+	forgetAfter = 30 * time.Second
 	// aliveFor is how long after its last report an entry VM is named to callers.
 	aliveFor = 2 * time.Second
 	// copyFarAfter is how long a table of an entry VM in another region may be
@@ -51,6 +63,8 @@
 	mu     sync.Mutex
 	listed map[string]Entry
 	heard  map[string]peer
+	// seen is when each entry VM was listed or heard last.
+	seen map[string]time.Duration
 	// behind tells for each table how long a newer copy is known.
 	behind map[string]newer
 	// copying holds the tables that are being copied from a peer.
@@ -59,15 +73,15 @@
 
 func newPeers(self Entry) *peers {
 	return &peers{
-		self: self, listed: map[string]Entry{}, heard: map[string]peer{},
+		self: self, listed: map[string]Entry{}, heard: map[string]peer{}, seen: map[string]time.Duration{},
 		behind: map[string]newer{}, copying: map[string]bool{},
 	}
 }
 
 // setMembers takes over the store's list of entry VMs.
 func (p *Process) setMembers(entries []Entry) {
-	names := []string{p.self.Name}
 	ips := make([]netip.Addr, 0, len(entries))
+	now := p.clock.Now()
 	p.peers.mu.Lock()
 	p.peers.listed = make(map[string]Entry, len(entries))
 	for _, e := range entries {
@@ -75,15 +89,23 @@
 			continue
 		}
 		p.peers.listed[e.Name] = e
-		names = append(names, e.Name)
+		p.peers.seen[e.Name] = now
 		ips = append(ips, e.Reports.Addr())
 	}
 	for name, other := range p.peers.heard {
+		p.peers.seen[name] = now
 		if _, ok := p.peers.listed[name]; !ok {
-			names = append(names, name)
 			ips = append(ips, other.address.Addr())
 		}
 	}
+	names := []string{p.self.Name}
+	for name, at := range p.peers.seen {
+		if now-at < rememberFor {
+			names = append(names, name)
+		} else {
+			delete(p.peers.seen, name)
+		}
+	}
 	p.peers.mu.Unlock()
 	slices.Sort(names)
 	p.bus.SetListed(ips)
@@ -95,24 +117,32 @@
 	now := p.clock.Now()
 	p.peers.mu.Lock()
 	old, known := p.peers.heard[m.Name]
-	if known && old.Started > m.Started {
-		p.peers.mu.Unlock()
-
-		return
-	}
 	p.peers.heard[m.Name] = peer{Message: m, address: from, heard: now}
 	p.peers.mu.Unlock()
 	if !known || old.Started != m.Started {
 		p.log.Info("entry VM reports", zap.String("entry", m.Name), zap.Stringer("address", from))
 	}
-	p.apply(steer.PeerReported{At: steer.At(now), Peer: m.Name, Report: steer.Report{
-		InFlight: m.InFlight, Demand: m.Demand, Region: m.Region, Suspects: m.Suspects,
-	}})
+	switch m.Scope {
+	case gossip.ScopeEntry:
+		p.apply(steer.PeerReported{At: steer.At(now), Peer: m.Name, Report: reportOf(m)})
+	case gossip.ScopePresence:
+		// It has no counts.
+	case gossip.ScopeRegion:
+		// Whichever entry VM tells for a region, its counts replace the last ones.
+		p.apply(steer.PeerReported{At: steer.At(now), Peer: regionPeer + m.Region, Report: reportOf(m)})
+	}
 	for table, t := range m.Tables {
 		p.compareTable(now, table, t, m.Region, from.Addr())
 	}
 }
 
+// regionPeer begins the names under which the sums of other regions are kept.
+const regionPeer = "region/"
+
+func reportOf(m gossip.Message) steer.Report {
+	return steer.Report{InFlight: m.InFlight, Demand: m.Demand, Region: m.Region, Suspects: m.Suspects}
+}
+
 // compareTable copies a table from another entry VM whose copy is newer.
 func (p *Process) compareTable(now time.Duration, table string, t gossip.Table, region string, from netip.Addr) {
 	m, ok := p.mirrors[table]
@@ -175,58 +205,131 @@
 
 // report tells the other entry VMs what this one does until ctx ends.
 func (p *Process) report(ctx context.Context) {
-	last := time.Duration(0)
+	var lastNear, lastFar, lastPresence time.Duration
 	for now := range p.clock.Subscribe(ctx, reportEvery) {
-		targets := p.peers.addresses()
-		if now-last < reportEvery*time.Duration(len(targets)/reportFleet) {
-			continue
+		p.peers.forget(now)
+		near, far, tells := p.peers.audience(now)
+		if now-lastNear >= interval(len(near)) {
+			lastNear = now
+			p.send(p.message(gossip.ScopeEntry), near)
+		}
+		switch {
+		case len(near)+len(far) < wholeFleet:
+			p.send(p.message(gossip.ScopeEntry), far)
+		case tells && now-lastFar >= interval(len(far)):
+			lastFar = now
+			p.send(p.message(gossip.ScopeRegion), far)
+		case !tells && now-lastPresence >= presenceEvery:
+			lastPresence = now
+			p.send(p.message(gossip.ScopePresence), far)
 		}
-		last = now
-		p.tell()
 	}
 }
 
-// tell sends a report to the other entry VMs now.
+// interval returns the time between reports to a number of entry VMs.
+func interval(n int) time.Duration {
+	return reportEvery * time.Duration(n/reportFleet)
+}
+
+// tell reports a change to the other entry VMs now.
 func (p *Process) tell() {
-	if err := p.bus.Send(p.message(), p.peers.addresses()); err != nil {
+	near, far, tells := p.peers.audience(p.clock.Now())
+	p.send(p.message(gossip.ScopeEntry), near)
+	switch {
+	case len(near)+len(far) < wholeFleet:
+		p.send(p.message(gossip.ScopeEntry), far)
+	case tells:
+		p.send(p.message(gossip.ScopeRegion), far)
+	case p.stopping.Load():
+		p.send(p.message(gossip.ScopePresence), far)
+	}
+}
+
+func (p *Process) send(m gossip.Message, to []netip.AddrPort) {
+	if err := p.bus.Send(m, to); err != nil {
 		p.log.Debug("a report was not sent", zap.Error(err))
 	}
 }
 
-func (p *Process) message() gossip.Message {
+func (p *Process) message(scope gossip.Scope) gossip.Message {
+	m := gossip.Message{
+		Name: p.self.Name, Started: p.started, Ready: p.Ready(), Zone: p.self.Zone, Region: p.self.Region,
+		Requests: p.self.Requests.String(), Tables: map[string]gossip.Table{}, Scope: scope,
+	}
+	for table, mirror := range p.mirrors {
+		if revision, age, ok := mirror.Status(); ok {
+			m.Tables[table] = gossip.Table{Revision: revision, AgeMillis: age.Milliseconds()}
+		}
+	}
+	if scope == gossip.ScopePresence {
+		return m
+	}
 	p.mu.Lock()
 	report := p.state.Report()
 	p.mu.Unlock()
-	tables := make(map[string]gossip.Table, len(p.mirrors))
-	for table, m := range p.mirrors {
-		if revision, age, ok := m.Status(); ok {
-			tables[table] = gossip.Table{Revision: revision, AgeMillis: age.Milliseconds()}
+	if scope == gossip.ScopeRegion {
+		for _, other := range p.peers.inRegion(p.clock.Now()) {
+			report = report.Plus(reportOf(other))
 		}
 	}
+	m.InFlight, m.Demand, m.Suspects = report.InFlight, report.Demand, report.Suspects
 
-	return gossip.Message{
-		Name: p.self.Name, Started: p.started, Ready: p.Ready(), Zone: p.self.Zone, Region: p.self.Region,
-		Requests: p.self.Requests.String(), Tables: tables, InFlight: report.InFlight, Demand: report.Demand, Suspects: report.Suspects,
-	}
+	return m
 }
 
-// addresses returns where reports are sent.
-func (s *peers) addresses() []netip.AddrPort {
+// audience returns where reports are sent, in the own region and elsewhere, and
+// whether this entry VM tells for its region.
+func (s *peers) audience(now time.Duration) (near, far []netip.AddrPort, tells bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	out := make([]netip.AddrPort, 0, len(s.listed))
+	tells = true
+	add := func(region string, to netip.AddrPort) {
+		if region == s.self.Region {
+			near = append(near, to)
+		} else {
+			far = append(far, to)
+		}
+	}
 	for _, e := range s.listed {
-		out = append(out, e.Reports)
+		add(e.Region, e.Reports)
 	}
 	for name, other := range s.heard {
 		if _, ok := s.listed[name]; !ok {
-			out = append(out, other.address)
+			add(other.Region, other.address)
+		}
+		if other.Region == s.self.Region && now-other.heard < reportsOld && name < s.self.Name {
+			tells = false
+		}
+	}
+
+	return near, far, tells
+}
+
+// inRegion returns the newest messages of the other entry VMs of the region.
+func (s *peers) inRegion(now time.Duration) []gossip.Message {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []gossip.Message
+	for _, other := range s.heard {
+		if other.Region == s.self.Region && now-other.heard < reportsOld {
+			out = append(out, other.Message)
 		}
 	}
 
 	return out
 }
 
+// forget drops entry VMs that have been silent for long.
+func (s *peers) forget(now time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for name, other := range s.heard {
+		if now-other.heard > forgetAfter {
+			delete(s.heard, name)
+		}
+	}
+}
+
 // Named is what a lookup returns.
 type Named struct {
 	Addresses []string
--- a/internal/steer/direct/attempt.go
+++ b/internal/steer/direct/attempt.go
@@ -117,6 +117,7 @@
 	case e.Outcome == NotRun:
 		to.avoid = max(to.avoid, s.now+shedPause)
 	case e.Outcome == NotSent, e.Outcome == Unknown && !e.TimedOut:
+		s.spill.disturb(s.now)
 		to.fail(s.now)
 		if e.Outcome == NotSent || to.strikes > 1 {
 			to.doubtful = true
--- a/internal/steer/direct/choose.go
+++ b/internal/steer/direct/choose.go
@@ -76,15 +76,18 @@
 	if sp := s.spreads[r.service]; sp != nil {
 		first, known = sp.regionOf(r.point, own, r.permits)
 	}
-	r.room = false
+	r.room, r.planned = false, ""
+	if known {
+		r.planned = first
+	}
 	var best offer
 	if known {
 		best, reachable = s.pick(r, func(c *server) bool { return c.Region == first })
 		if best.server != nil && s.makes(r, best.server, best.place) {
 			return best.server, true
 		}
-		if reachable && s.waits(r) {
-			return nil, true
+		if reachable && (s.waits(r) || !s.spill.allowed(s.now)) {
+			return best.server, true
 		}
 	}
 	other, may := s.pick(r, func(c *server) bool { return !known || c.Region != first })
--- a/internal/steer/direct/cold.go
+++ b/internal/steer/direct/cold.go
@@ -19,7 +19,11 @@
 // left goes to those that the server's name ranks first, so that all agree.
 func coldRate(self, serverID string, entries []string, perSecond float64) float64 {
 	whole := int(coldShare * perSecond)
-	n := max(len(entries), 1)
+	if len(entries) <= 1 {
+		// An entry VM that has just started knows no others.
+		return min(float64(whole), 1)
+	}
+	n := len(entries)
 	share, left := whole/n, whole%n
 	if left > 0 && slices.Index(ranked(serverID, entries), self) < left && slices.Contains(entries, self) {
 		share++
--- a/internal/steer/direct/direct.go
+++ b/internal/steer/direct/direct.go
@@ -85,6 +85,7 @@
 	patiences map[string]*patience
 	pressures map[string]*pressure
 	suspects  suspects
+	spill     spill
 	sequence  float64
 
 	out []Effect
@@ -138,6 +139,9 @@
 	case ServersKnown:
 		s.serversKnown(e.Servers)
 	case ZonesEvacuated:
+		if e.Zones.Len() != s.evacuated.Len() {
+			s.spill.disturb(s.now)
+		}
 		s.evacuated = e.Zones
 	case EntriesKnown:
 		s.entries = e.Names
@@ -230,6 +234,7 @@
 	}
 	s.emit(Send{ID: r.id, Server: to.Server, Until: r.until, Occupied: to.occupied(), Limit: to.limit()})
 	to.own++
+	s.spill.note(s.now, r.planned != "" && to.Region != r.planned)
 	r.at, r.sentAt = to, s.now
 	r.servers = append(r.servers, to.ID)
 }
--- a/internal/steer/direct/limits_test.go
+++ b/internal/steer/direct/limits_test.go
@@ -143,3 +143,37 @@
 	s.clear(1)
 	require.False(t, s.refuses(0, 1), "an answer clears the suspicion")
 }
+
+// Guards against the first seconds of a day at which a third of a region's
+// requests ran elsewhere and came back once objects were known.
+func TestFewRequestsLeaveTheirRegionOnCalmDays(t *testing.T) {
+	t.Parallel()
+	s := &spill{}
+	var at []time.Duration
+	now := time.Duration(0)
+	const every = 10 * time.Millisecond
+	for range 1000 {
+		now += every
+		may := s.allowed(now)
+		if may {
+			at = append(at, now)
+		}
+		s.note(now, may)
+	}
+	const inWindow = int(spillWindow / every)
+	for end := spillWindow; end <= now; end += 100 * time.Millisecond {
+		outside, before := within(at, end, spillWindow), within(at, end-spillWindow, spillWindow)
+		require.LessOrEqual(t, float64(outside), spillShare*float64(inWindow)+spillLeast+1)
+		require.LessOrEqual(t, float64(outside-before), 0.15*float64(inWindow), "at %s", end)
+	}
+	fill := func(at time.Duration) {
+		for i := 0; s.allowed(at); i++ {
+			require.Less(t, i, inWindow, "requests leave their region without limit")
+			s.note(at, true)
+		}
+	}
+	fill(now)
+	s.disturb(now)
+	require.True(t, s.allowed(now), "a fault lets requests go anywhere")
+	fill(now + disturbedFor)
+}
--- a/internal/steer/direct/request.go
+++ b/internal/steer/direct/request.go
@@ -23,6 +23,8 @@
 	objectHash  uint64
 	point       float64
 	fingerprint uint64
+	// planned is the region that the division gives, "" without one.
+	planned string
 	// servers are those that were given the request, or could not be reached.
 	servers []string
 	// sent counts the attempts that may have reached a server.
--- a/internal/steer/direct/spread.go
+++ b/internal/steer/direct/spread.go
@@ -12,9 +12,10 @@
 	// localTarget is the use of a region's slots up to which its own callers stay
 	// in it; above, requests move to regions with more room.
 	localTarget = 0.85
-	// spreadPerSecond bounds how fast the parts of a region's requests move; a
-	// third of the deployment's usual bound of 15 % in two seconds.
-	spreadPerSecond = 0.025
+	// spreadPerSecond bounds how fast the parts of a region's requests move: what
+	// the requests that run elsewhere for want of room leave of the usual bound of
+	// 15 % in two seconds.
+	spreadPerSecond = 0.015
 	// demandAlpha weighs one tick's demand: about the last two seconds.
 	demandAlpha = 0.06
 )
--- a/internal/steer/direct/tick.go
+++ b/internal/steer/direct/tick.go
@@ -1,6 +1,8 @@
 package direct
 
 import (
+	"maps"
+	"slices"
 	"time"
 )
 
@@ -24,6 +26,9 @@
 			old = fresh
 		} else {
 			leaving := old.Leaving || next.Leaving
+			if leaving && !old.Leaving {
+				s.spill.disturb(s.now)
+			}
 			old.Server = next
 			old.Leaving = leaving
 			old.coldUntil = max(old.coldUntil, s.now+next.Cold)
@@ -32,6 +37,11 @@
 		s.byKey[old.key] = old
 		s.byService[next.Service] = append(s.byService[next.Service], old)
 	}
+	for id := range s.servers {
+		if _, ok := known[id]; !ok {
+			s.spill.disturb(s.now)
+		}
+	}
 	s.servers = known
 	s.countOthers()
 	for service := range s.queues {
@@ -107,7 +117,7 @@
 		slots, demands := s.slotsOf(service), s.demandsOf(service, d)
 		s.uses[service] = use(demands, slots)
 		sp := entryOf(s.spreads, service, func() *spread { return &spread{} })
-		if len(demands) == 0 {
+		if len(demands) == 0 || sp.parts == nil {
 			sp.parts = divide(s.settings.Region, presumedDemands(slots), slots)
 
 			continue
@@ -137,7 +147,9 @@
 	if own.slots.Count() > 0 {
 		demands[s.settings.Region] = own.slots.Value()
 	}
-	for _, p := range s.peers {
+	// The order of a sum of fractions matters to its last digits, and so to tests.
+	for _, name := range slices.Sorted(maps.Keys(s.peers)) {
+		p := s.peers[name]
 		if n := p.Demand[service]; n > 0 {
 			demands[p.Region] += n
 		}
@@ -176,18 +188,3 @@
 	s.emit(Believe{Server: c.ID, State: "usable", Cause: "its health check passed"})
 	s.dispatch(c.Service)
 }
-
-// Report returns what the other entry VMs should know.
-func (s State) Report() Report {
-	r := Report{InFlight: map[uint32]int{}, Suspects: s.suspects.counts(), Demand: map[string]float64{}, Region: s.settings.Region}
-	for _, c := range s.servers {
-		if c.own > 0 {
-			r.InFlight[c.key] = c.own
-		}
-	}
-	for service, d := range s.demands {
-		r.Demand[service] = d.slots.Value()
-	}
-
-	return r
-}
--- a/internal/wire/gossip/gossip.go
+++ b/internal/wire/gossip/gossip.go
@@ -23,6 +23,19 @@
 	copyTimeout = 1500 * time.Millisecond
 )
 
+// Scope tells what the counts of a message cover.
+type Scope int
+
+// Scopes of messages.
+const (
+	// ScopeEntry: the sender's own requests.
+	ScopeEntry Scope = iota
+	// ScopeRegion: the requests of all entry VMs of the sender's region.
+	ScopeRegion
+	// ScopePresence: no counts; the sender only shows that it lives.
+	ScopePresence
+)
+
 // Message is what an entry VM tells the others several times a second.
 type Message struct {
 	Name string `cbor:"1,keyasint"`
@@ -40,6 +53,7 @@
 	Demand   map[string]float64 `cbor:"9,keyasint"`
 	// Suspects count the servers lost by requests with the same content.
 	Suspects map[uint64]int `cbor:"10,keyasint,omitempty"`
+	Scope    Scope          `cbor:"11,keyasint,omitempty"`
 }
 
 // Table describes a copy of one of the store's tables.
