Add explain; name requests that came back too late; give up dialing sooner

Cause: an on-call engineer could not tell a request without room from one that came back after its target; a request waited 0.4 s for a server that did not answer. Change: the reason target-passed; the command explain prints a request's lines and what its entry VM believed before; connections are given up after 0.25 s.

--- a/internal/cli/cmd/cmd.go
+++ b/internal/cli/cmd/cmd.go
@@ -52,6 +52,7 @@
 		statusCommand(),
 		drainCommand(),
 		lookupCommand(),
+		explainCommand(),
 		versionCommand(),
 	}
 }
--- a/internal/steer/direct/direct.go
+++ b/internal/steer/direct/direct.go
@@ -220,6 +220,9 @@
 		return ReasonServerShed
 	case !reachable:
 		return ReasonNoServer
+	case !s.canMake(r):
+		// First attempts want the slots that there are.
+		return ReasonTargetPassed
 	}
 
 	return ReasonNoCapacity
--- a/internal/steer/direct/event.go
+++ b/internal/steer/direct/event.go
@@ -173,6 +173,7 @@
 // Reasons of refusals and failures.
 const (
 	ReasonNoCapacity   Reason = "no-capacity"
+	ReasonTargetPassed Reason = "target-passed"
 	ReasonNoServer     Reason = "no-server"
 	ReasonServerShed   Reason = "server-shed"
 	ReasonRetryBudget  Reason = "retry-budget"
--- a/internal/wire/http1/pool.go
+++ b/internal/wire/http1/pool.go
@@ -17,7 +17,7 @@
 	// dialTimeout bounds a connection set-up; the farthest regions are 35 ms
 	// apart one way, and trying another server is better than waiting for the
 	// second that passes before a lost opening packet is sent again.
-	dialTimeout = 400 * time.Millisecond
+	dialTimeout = 250 * time.Millisecond
 	// defaultIdle is used where a server states no Keep-Alive timeout.
 	defaultIdle = 6 * time.Second
 	// idleShare is the part of a server's idle timeout after which a connection
