Spread large tables over weak links; tell lost servers

Change: VMs with strong links read the tables; each sends three compressed copies at a time and the others ask the next one; servers that take no connection are told, and are taken for cold by those who hear of it.

--- a/internal/run/direct/peers.go
+++ b/internal/run/direct/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/netip"
 	"slices"
 	"sync"
@@ -140,7 +141,7 @@
 const regionPeer = "region/"
 
 func reportOf(m gossip.Message) steer.Report {
-	return steer.Report{InFlight: m.InFlight, Demand: m.Demand, Region: m.Region, Suspects: m.Suspects}
+	return steer.Report{InFlight: m.InFlight, Demand: m.Demand, Region: m.Region, Suspects: m.Suspects, Lost: m.Lost}
 }
 
 // compareTable copies a table from another entry VM whose copy is newer.
@@ -176,7 +177,9 @@
 	m := p.mirrors[table]
 	base, _, _ := m.Status()
 	var d mirror.Delta
-	if err := p.bus.Fetch(p.ctx, from, table, base, &d); err != nil {
+	if err := p.bus.Fetch(p.ctx, from, table, base, &d); errors.Is(err, gossip.ErrBusy) {
+		p.log.Debug("an entry VM sends other copies", zap.String("table", table), zap.Stringer("from", from))
+	} else if err != nil {
 		p.log.Warn("table of an entry VM was not read", zap.String("table", table), zap.Stringer("from", from), zap.Error(err))
 	} else if m.Adopt(base, d) {
 		p.tell()
@@ -195,7 +198,10 @@
 	p.peers.mu.Lock()
 	defer p.peers.mu.Unlock()
 	for name, other := range p.peers.heard {
-		if now-other.heard < aliveFor && rendezvous.Weight(table, name) > own {
+		if now-other.heard >= aliveFor || other.Strength < p.settings.Strength {
+			continue
+		}
+		if other.Strength > p.settings.Strength || rendezvous.Weight(table, name) > own {
 			rank++
 		}
 	}
@@ -254,7 +260,7 @@
 func (p *Process) message(scope gossip.Scope) gossip.Message {
 	m := gossip.Message{
 		Name: p.self.Name, Started: p.started, Ready: p.Ready(), Zone: p.self.Zone, Region: p.self.Region,
-		Requests: p.self.Requests.String(), Tables: map[string]gossip.Table{}, Scope: scope,
+		Requests: p.self.Requests.String(), Tables: map[string]gossip.Table{}, Scope: scope, Strength: p.settings.Strength,
 	}
 	for table, mirror := range p.mirrors {
 		if revision, age, ok := mirror.Status(); ok {
@@ -272,7 +278,7 @@
 			report = report.Plus(reportOf(other))
 		}
 	}
-	m.InFlight, m.Demand, m.Suspects = report.InFlight, report.Demand, report.Suspects
+	m.InFlight, m.Demand, m.Suspects, m.Lost = report.InFlight, report.Demand, report.Suspects, report.Lost
 
 	return m
 }
--- a/internal/run/direct/settings.go
+++ b/internal/run/direct/settings.go
@@ -29,6 +29,9 @@
 	// ReturnOfLapsed is how long after an outage of the store a server whose entry
 	// has lapsed may take to be listed again.
 	ReturnOfLapsed time.Duration
+	// Strength orders entry VMs by the capacity of their links; the strongest ones
+	// read the store's tables for all.
+	Strength int
 	// HeldBytes bounds the request bodies held at once.
 	HeldBytes int64
 }
--- a/internal/steer/direct/event.go
+++ b/internal/steer/direct/event.go
@@ -58,6 +58,9 @@
 type Report struct {
 	// InFlight counts its requests at each server, by Key.
 	InFlight map[uint32]int
+	// Lost are the servers, by Key, that took no connection in the last moments; they
+	// may be back soon, and cold.
+	Lost []uint32
 	// Suspects count the servers lost in a row by requests with the same content.
 	Suspects map[uint64]int
 	// Demand is the number of slots that its callers ask for, by service name.
--- a/internal/steer/direct/report.go
+++ b/internal/steer/direct/report.go
@@ -7,6 +7,9 @@
 		if c.own > 0 {
 			r.InFlight[c.key] = c.own
 		}
+		if s.now < c.lost {
+			r.Lost = append(r.Lost, c.key)
+		}
 	}
 	for service, d := range s.demands {
 		r.Demand[service] = d.slots.Value()
@@ -23,6 +26,7 @@
 		for key, n := range of.InFlight {
 			sum.InFlight[key] += n
 		}
+		sum.Lost = append(sum.Lost, of.Lost...)
 		for fingerprint, lost := range of.Suspects {
 			sum.Suspects[fingerprint] = max(sum.Suspects[fingerprint], lost)
 		}
--- a/internal/steer/direct/server.go
+++ b/internal/steer/direct/server.go
@@ -18,6 +18,9 @@
 	// shedPause is how long a server that refused a request is given no other:
 	// about the time in which it ends one of its requests.
 	shedPause = 60 * time.Millisecond
+	// tellLost is how long a server is reported that took no connection, long enough
+	// for a lost report to be repeated.
+	tellLost = 1500 * time.Millisecond
 	// loadFresh is how long a server's report about its speed is believed; it
 	// changes many times a second.
 	loadFresh = 400 * time.Millisecond
@@ -61,8 +64,10 @@
 	strikes int
 	// doubtful servers get no request before a probe has found them healthy.
 	doubtful bool
-	probing  bool
-	probeAt  time.Duration
+	// lost is until when the other entry VMs are told that it took no connection.
+	lost    time.Duration
+	probing bool
+	probeAt time.Duration
 	// coldUntil is when the server is warm; nextCold is when this entry may send
 	// it another request while it is cold.
 	coldUntil time.Duration
--- a/internal/steer/direct/tick.go
+++ b/internal/steer/direct/tick.go
@@ -59,6 +59,12 @@
 			s.suspects.lose(s.now, fingerprint, lost)
 		}
 	}
+	for _, key := range e.Report.Lost {
+		// It may be back before its entry in the store tells so.
+		if c, ok := s.byKey[key]; ok && s.intent != nil {
+			c.coldUntil = max(c.coldUntil, s.now+s.intent.Services[c.Service].Warmup)
+		}
+	}
 	s.peers[e.Peer] = peerReport{Report: e.Report, at: s.now}
 	s.addOthers(e.Report, 1)
 	for service, q := range s.queues {
--- a/internal/wire/gossip/gossip.go
+++ b/internal/wire/gossip/gossip.go
@@ -7,22 +7,32 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/netip"
 	"sync"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/klauspost/compress/s2"
 )
 
 const (
 	// maxDatagram keeps a report in one unfragmented packet where it fits; reports
 	// of large fleets may take several.
 	maxDatagram = 8 << 10
+	// maxCopies bounds the tables that are sent at once: a large table over a weak
+	// link would reach nobody in time if all shared it.
+	maxCopies = 3
+	// maxCopyBytes bounds a compressed table.
+	maxCopyBytes = 16 << 20
 	// copyTimeout bounds the transfer of a table.
 	copyTimeout = 1500 * time.Millisecond
 )
 
+// ErrBusy is returned by an entry VM that is sending enough copies.
+var ErrBusy = errors.New("entry VM sends other copies")
+
 // Scope tells what the counts of a message cover.
 type Scope int
 
@@ -54,6 +64,10 @@
 	// Suspects count the servers lost by requests with the same content.
 	Suspects map[uint64]int `cbor:"10,keyasint,omitempty"`
 	Scope    Scope          `cbor:"11,keyasint,omitempty"`
+	// Lost are servers that took no connection in the last moments.
+	Lost []uint32 `cbor:"12,keyasint,omitempty"`
+	// Strength orders entry VMs by their links: the strongest read the tables.
+	Strength int `cbor:"13,keyasint,omitempty"`
 }
 
 // Table describes a copy of one of the store's tables.
@@ -73,6 +87,9 @@
 	receive  func(Message, netip.AddrPort)
 	table    func(name string, since uint64) ([]byte, bool)
 
+	// copies holds a place for each table that is being sent.
+	copies chan struct{}
+
 	mu     sync.Mutex
 	listed map[netip.Addr]struct{}
 }
@@ -99,7 +116,7 @@
 		return nil, fmt.Errorf("listen for tables: %w", err)
 	}
 
-	return &Bus{ip: ip, udp: udp, tcp: tcp, copyPort: tables, receive: h.Receive, table: h.Table, listed: map[netip.Addr]struct{}{}}, nil
+	return &Bus{ip: ip, udp: udp, tcp: tcp, copyPort: tables, receive: h.Receive, table: h.Table, listed: map[netip.Addr]struct{}{}, copies: make(chan struct{}, maxCopies)}, nil
 }
 
 // SetListed replaces the addresses of the entry VMs.
@@ -197,8 +214,15 @@
 	if cbor.NewDecoder(conn).Decode(&r) != nil {
 		return
 	}
+	select {
+	case b.copies <- struct{}{}:
+		defer func() { <-b.copies }()
+	default:
+		// The asker tries another entry VM, which may have the table by now.
+		return
+	}
 	if data, ok := b.table(r.Table, r.Since); ok {
-		_, _ = conn.Write(data)
+		_, _ = conn.Write(s2.Encode(nil, data))
 	}
 }
 
@@ -218,9 +242,20 @@
 	if err := cbor.NewEncoder(conn).Encode(request{Table: table, Since: since}); err != nil {
 		return fmt.Errorf("ask entry VM %s for %s: %w", ip, table, err)
 	}
-	if err := cbor.NewDecoder(conn).Decode(v); err != nil {
+	compressed, err := io.ReadAll(io.LimitReader(conn, maxCopyBytes))
+	if err != nil {
 		return fmt.Errorf("read %s from entry VM %s: %w", table, ip, err)
 	}
+	if len(compressed) == 0 {
+		return ErrBusy
+	}
+	data, err := s2.Decode(nil, compressed)
+	if err != nil {
+		return fmt.Errorf("decompress %s of entry VM %s: %w", table, ip, err)
+	}
+	if err := cbor.Unmarshal(data, v); err != nil {
+		return fmt.Errorf("decode %s of entry VM %s: %w", table, ip, err)
+	}
 
 	return nil
 }
--- /dev/null
+++ b/internal/wire/gossip/gossip_test.go
@@ -0,0 +1,110 @@
+package gossip_test
+
+import (
+	"context"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/stretchr/testify/require"
+
+	"github.com/greengagetally/greengagetally/internal/wire/gossip"
+)
+
+// testWait bounds every wait of these tests.
+const testWait = 10 * time.Second
+
+const (
+	reports = 17830
+	tables  = 17831
+)
+
+// open runs a bus on a loopback address; table answers copies of tables.
+func open(t *testing.T, ip string, received chan gossip.Message, table func(string, uint64) ([]byte, bool)) (*gossip.Bus, netip.Addr) {
+	t.Helper()
+	address := netip.MustParseAddr(ip)
+	ctx, cancel := context.WithCancel(context.Background())
+	bus, err := gossip.Listen(ctx, address, reports, tables, gossip.Handlers{
+		Receive: func(m gossip.Message, _ netip.AddrPort) { received <- m }, Table: table,
+	})
+	require.NoError(t, err)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = bus.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+
+	return bus, address
+}
+
+func noTable(string, uint64) ([]byte, bool) { return nil, false }
+
+// Guards against reports and copies from or for addresses that are no entry VMs.
+func TestOnlyListedAddressesAreHeard(t *testing.T) {
+	t.Parallel()
+	received := make(chan gossip.Message, 8)
+	long := strings.Repeat("row ", 100_000)
+	a, addressA := open(t, "127.0.0.101", received, func(name string, since uint64) ([]byte, bool) {
+		data, err := cbor.Marshal(long)
+
+		return data, err == nil && name == "t" && since == 7
+	})
+	b, addressB := open(t, "127.0.0.102", make(chan gossip.Message, 8), noTable)
+	to := []netip.AddrPort{netip.AddrPortFrom(addressA, reports)}
+	message := gossip.Message{Name: "b", Lost: []uint32{4}, InFlight: map[uint32]int{9: 2}}
+	require.NoError(t, b.Send(message, to))
+	var copied string
+	require.Error(t, b.Fetch(t.Context(), addressA, "t", 7, &copied))
+	a.SetListed([]netip.Addr{addressB})
+	require.Eventually(t, func() bool {
+		require.NoError(t, b.Send(message, to))
+		select {
+		case m := <-received:
+			return m.Name == "b" && m.InFlight[9] == 2 && m.Lost[0] == 4
+		case <-time.After(100 * time.Millisecond):
+			return false
+		}
+	}, testWait, 10*time.Millisecond)
+	require.NoError(t, b.Fetch(t.Context(), addressA, "t", 7, &copied))
+	require.Equal(t, long, copied)
+}
+
+// Guards against an entry VM with a weak link that sends a large table to all the
+// others at once, so that none has it in time.
+func TestFewCopiesAreSentAtOnce(t *testing.T) {
+	t.Parallel()
+	release := make(chan struct{})
+	asked := make(chan struct{}, 16)
+	a, addressA := open(t, "127.0.0.111", make(chan gossip.Message, 8), func(string, uint64) ([]byte, bool) {
+		asked <- struct{}{}
+		<-release
+		data, err := cbor.Marshal("x")
+
+		return data, err == nil
+	})
+	b, addressB := open(t, "127.0.0.112", make(chan gossip.Message, 8), noTable)
+	a.SetListed([]netip.Addr{addressB})
+	const most = 3
+	results := make(chan error, most)
+	for range most {
+		go func() {
+			var v string
+			results <- b.Fetch(context.Background(), addressA, "t", 0, &v)
+		}()
+	}
+	for range most {
+		<-asked
+	}
+	var v string
+	require.ErrorIs(t, b.Fetch(t.Context(), addressA, "t", 0, &v), gossip.ErrBusy)
+	close(release)
+	for range most {
+		require.NoError(t, <-results)
+	}
+}
