--- a/internal/steer/direct/attempt.go
+++ b/internal/steer/direct/attempt.go
@@ -119,9 +119,6 @@
 	case e.Outcome == NotSent, e.Outcome == Unknown && !e.TimedOut:
 		s.spill.disturb(s.now)
 		to.fail(s.now)
-		if e.Outcome == NotSent {
-			to.lost = s.now + tellLost
-		}
 		if e.Outcome == NotSent || to.strikes > 1 {
 			to.doubtful = true
 		}
--- a/internal/steer/direct/event.go
+++ b/internal/steer/direct/event.go
@@ -58,8 +58,8 @@
 type Report struct {
 	// InFlight counts its requests at each server, by Key.
 	InFlight map[uint32]int
-	// Lost are the servers, by Key, that took no connection in the last moments; they
-	// may be back soon, and cold.
+	// Lost are the servers, by Key, that failed a request and then a probe in the last
+	// moments; they may be back soon, and cold.
 	Lost []uint32
 	// Suspects count the servers lost in a row by requests with the same content.
 	Suspects map[uint64]int
--- a/internal/steer/direct/server.go
+++ b/internal/steer/direct/server.go
@@ -18,8 +18,8 @@
 	// shedPause is how long a server that refused a request is given no other:
 	// about the time in which it ends one of its requests.
 	shedPause = 60 * time.Millisecond
-	// tellLost is how long a server is reported that took no connection, long enough
-	// for a lost report to be repeated.
+	// tellLost is how long a server is reported that failed a request and a probe,
+	// long enough for a report that is lost to be repeated.
 	tellLost = 1500 * time.Millisecond
 	// loadFresh is how long a server's report about its speed is believed; it
 	// changes many times a second.
@@ -64,7 +64,7 @@
 	strikes int
 	// doubtful servers get no request before a probe has found them healthy.
 	doubtful bool
-	// lost is until when the other entry VMs are told that it took no connection.
+	// lost is until when the other entry VMs are told that it is down.
 	lost    time.Duration
 	probing bool
 	probeAt time.Duration
--- a/internal/steer/direct/tick.go
+++ b/internal/steer/direct/tick.go
@@ -184,7 +184,9 @@
 	}
 	c.probing = false
 	if !e.Healthy {
+		// The second failure in a row: it is down, not just one connection.
 		c.fail(s.now)
+		c.lost = s.now + tellLost
 
 		return
 	}
