Pass over entry VMs whose readings of the store fail

Change: reports say whether readings fail; those that fail are passed over, and try again later the lower their place.

--- a/internal/run/direct/peers.go
+++ b/internal/run/direct/peers.go
@@ -189,12 +189,11 @@
 	p.peers.copying[table] = false
 }
 
-// rank returns the place of this entry VM among those that report, in the order
-// in which they read a table from the store.
-func (p *Process) rank(table string) int {
+// rank returns the place of this entry VM in the order in which they read a table
+// from the store, among those whose readings do not fail and among all.
+func (p *Process) rank(table string) (rank, place int) {
 	now := p.clock.Now()
 	own := rendezvous.Weight(table, p.self.Name)
-	rank := 0
 	p.peers.mu.Lock()
 	defer p.peers.mu.Unlock()
 	for name, other := range p.peers.heard {
@@ -202,11 +201,14 @@
 			continue
 		}
 		if other.Strength > p.settings.Strength || rendezvous.Weight(table, name) > own {
-			rank++
+			place++
+			if !other.Tables[table].Failing {
+				rank++
+			}
 		}
 	}
 
-	return rank
+	return rank, place
 }
 
 // report tells the other entry VMs what this one does until ctx ends.
@@ -264,7 +266,7 @@
 	}
 	for table, mirror := range p.mirrors {
 		if revision, age, ok := mirror.Status(); ok {
-			m.Tables[table] = gossip.Table{Revision: revision, AgeMillis: age.Milliseconds()}
+			m.Tables[table] = gossip.Table{Revision: revision, AgeMillis: age.Milliseconds(), Failing: mirror.Failing()}
 		}
 	}
 	if scope == gossip.ScopePresence {
--- a/internal/run/mirror/mirror.go
+++ b/internal/run/mirror/mirror.go
@@ -48,9 +48,13 @@
 	retryAfter = 500 * time.Millisecond
 	// rankDelay is how much later than the one before it in rank an entry VM reads
 	// a table; it covers the delivery of that one's reading.
-	rankDelay = 300 * time.Millisecond
+	rankDelay = 250 * time.Millisecond
 	// maxRank bounds the wait of the last in rank.
 	maxRank = 4
+	// placeDelay and maxPlace spread the tries of entry VMs whose readings fail, so
+	// that a store that is away is not asked by all.
+	placeDelay = 250 * time.Millisecond
+	maxPlace   = 8
 	// maxTombstones bounds the deletions that are remembered for copies.
 	maxTombstones = 1024
 )
@@ -140,14 +144,26 @@
 	return m.now.Revision, m.clock.Now() - m.current, m.loaded
 }
 
-// Due reports whether an entry VM of a rank, 0 first, should read the table now.
-func (m *Mirror) Due(rank int) bool {
+// Failing reports whether the last reading failed.
+func (m *Mirror) Failing() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+
+	return m.lost && m.loaded
+}
+
+// Due reports whether an entry VM should read the table now. Its rank, 0 first, is
+// that among those whose readings do not fail; its place is that among all.
+func (m *Mirror) Due(rank, place int) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.clock.Now()
 	if m.reading || now < m.nextRead {
 		return false
 	}
+	if m.lost && m.loaded && now < m.nextRead+time.Duration(min(place, maxPlace))*placeDelay {
+		return false
+	}
 
 	return !m.loaded || now >= m.current+m.options.Interval+time.Duration(min(rank, maxRank))*rankDelay
 }
--- a/internal/run/mirror/mirror_test.go
+++ b/internal/run/mirror/mirror_test.go
@@ -95,7 +95,7 @@
 func TestReadsAllPagesAndTellsChangesOnly(t *testing.T) {
 	t.Parallel()
 	b := newBench(newStore(5), 0)
-	require.True(t, b.mirror.Due(0))
+	require.True(t, b.mirror.Due(0, 0))
 	require.True(t, b.mirror.Read(t.Context()))
 	require.Len(t, b.keys(), 5)
 	b.store.revision++
@@ -117,13 +117,13 @@
 	for range 20 {
 		b.clock.Advance(400 * time.Millisecond)
 		require.False(t, b.mirror.Heard(revision, 100*time.Millisecond))
-		require.False(t, b.mirror.Due(0))
+		require.False(t, b.mirror.Due(0, 0))
 	}
 	b.clock.Advance(450 * time.Millisecond)
-	require.True(t, b.mirror.Due(0))
-	require.False(t, b.mirror.Due(1))
+	require.True(t, b.mirror.Due(0, 0))
+	require.False(t, b.mirror.Due(1, 1))
 	b.clock.Advance(300 * time.Millisecond)
-	require.True(t, b.mirror.Due(1))
+	require.True(t, b.mirror.Due(1, 1))
 }
 
 // Guards against a configuration that goes back: an older copy is never adopted.
@@ -175,7 +175,13 @@
 	b.clock.Advance(10 * time.Second)
 	b.store.away = true
 	b.mirror.Read(t.Context())
-	require.False(t, b.mirror.Due(0), "the next try waits")
+	require.False(t, b.mirror.Due(0, 0), "the next try waits")
+	require.True(t, b.mirror.Failing())
+	b.clock.Advance(550 * time.Millisecond)
+	require.True(t, b.mirror.Due(0, 0))
+	require.False(t, b.mirror.Due(0, 5), "all ask a store that is away at once")
+	b.clock.Advance(2 * time.Second)
+	require.True(t, b.mirror.Due(0, 5))
 	b.store.away = false
 	lapsed := b.store.items["t/1"]
 	b.store.remove("t/0")
--- a/internal/wire/gossip/gossip.go
+++ b/internal/wire/gossip/gossip.go
@@ -27,7 +27,7 @@
 	// maxCopyBytes bounds a compressed table.
 	maxCopyBytes = 16 << 20
 	// copyTimeout bounds the transfer of a table.
-	copyTimeout = 1500 * time.Millisecond
+	copyTimeout = 800 * time.Millisecond
 )
 
 // ErrBusy is returned by an entry VM that is sending enough copies.
@@ -75,6 +75,8 @@
 	Revision uint64 `cbor:"1,keyasint"`
 	// AgeMillis is how long ago the copy was known to be that of the store.
 	AgeMillis int64 `cbor:"2,keyasint"`
+	// Failing is true when the sender's last reading from the store failed.
+	Failing bool `cbor:"3,keyasint,omitempty"`
 }
 
 // Bus exchanges messages and tables with the other entry VMs.
