--- a/internal/steer/direct/limits_test.go
+++ b/internal/steer/direct/limits_test.go
@@ -177,3 +177,17 @@
 	require.True(t, s.allowed(now), "a fault lets requests go anywhere")
 	fill(now + disturbedFor)
 }
+
+// Guards against a server that is listed anew while it is cold and gets another
+// request before the pause after the last one has passed.
+func TestColdPauseOutlivesANewListing(t *testing.T) {
+	t.Parallel()
+	s := New(Settings{Name: "a"})
+	listed := Server{ID: "s", Address: "s:1", Service: "x", Slots: 2, Cold: 3 * time.Second, Started: 1}
+	s, _ = Reduce(s, ServersKnown{Servers: []Server{listed}})
+	s.servers["s"].nextCold = time.Second
+	listed.Started = 2
+	s, _ = Reduce(s, ServersKnown{At: At(100 * time.Millisecond), Servers: []Server{listed}})
+	require.False(t, s.servers["s"].usable(900*time.Millisecond))
+	require.True(t, s.servers["s"].usable(time.Second))
+}
--- a/internal/steer/direct/tick.go
+++ b/internal/steer/direct/tick.go
@@ -21,7 +21,8 @@
 		if !ok || old.Started != next.Started || old.Address != next.Address {
 			fresh := newServer(s.now, next)
 			if ok {
-				fresh.own = 0
+				// A server that is back under its identity has one rate while it is cold.
+				fresh.nextCold = old.nextCold
 			}
 			old = fresh
 		} else {
