--- a/internal/run/direct/peers.go
+++ b/internal/run/direct/peers.go
@@ -21,10 +21,8 @@
 	// VMs; it grows with the fleet, so that the cost of a VM does not.
 	reportEvery = 100 * time.Millisecond
 	reportFleet = 16
-	// wholeFleet is the number of entry VMs from which one of each region tells the
-	// other regions its sums; below, all tell all.
-	wholeFleet = 16
-	// presenceEvery is how often the others show the other regions that they live.
+	// presenceEvery is how often the entry VMs that do not tell their region's sums
+	// show the other regions that they live.
 	presenceEvery = 700 * time.Millisecond
 	// reportsOld is the age from which a report is not part of a sum.
 	reportsOld = 1200 * time.Millisecond
@@ -222,8 +220,6 @@
 			p.send(p.message(gossip.ScopeEntry), near)
 		}
 		switch {
-		case len(near)+len(far) < wholeFleet:
-			p.send(p.message(gossip.ScopeEntry), far)
 		case tells && now-lastFar >= interval(len(far)):
 			lastFar = now
 			p.send(p.message(gossip.ScopeRegion), far)
@@ -244,8 +240,6 @@
 	near, far, tells := p.peers.audience(p.clock.Now())
 	p.send(p.message(gossip.ScopeEntry), near)
 	switch {
-	case len(near)+len(far) < wholeFleet:
-		p.send(p.message(gossip.ScopeEntry), far)
 	case tells:
 		p.send(p.message(gossip.ScopeRegion), far)
 	case p.stopping.Load():
