--- a/internal/run/direct/entry.go
+++ b/internal/run/direct/entry.go
@@ -26,11 +26,8 @@
 	tickEvery = 100 * time.Millisecond
 	// pruneEvery is the interval in which idle connections are reviewed.
 	pruneEvery = 2 * time.Second
-	// ordersEvery, serversEvery and entriesEvery are how old the copies of the
-	// store's tables may grow. Orders and servers that leave must be known within
-	// about two seconds; entry VMs report themselves to each other.
-	ordersEvery  = 500 * time.Millisecond
-	serversEvery = 500 * time.Millisecond
+	// entriesEvery is how old the copy of the list of entry VMs may grow; they report
+	// themselves to each other.
 	entriesEvery = 1500 * time.Millisecond
 	// statusEvery is the interval of the lines that show what the entry VM believes.
 	statusEvery = 2 * time.Second
@@ -87,10 +84,10 @@
 	p.listener = http1.NewListener(d.Names(), p, p.bounds)
 	p.mirrors = map[string]*mirror.Mirror{
 		TableOrders: mirror.New(d, clock, log, mirror.Options{
-			Prefix: d.Prefix(TableOrders), Interval: ordersEvery, Changed: p.ordersChanged,
+			Prefix: d.Prefix(TableOrders), Interval: settings.ReadEvery, Changed: p.ordersChanged,
 		}),
 		TableServers: mirror.New(d, clock, log, mirror.Options{
-			Prefix: d.Prefix(TableServers), Interval: serversEvery, KeepDeleted: settings.ReturnOfLapsed, Changed: p.serversChanged,
+			Prefix: d.Prefix(TableServers), Interval: settings.ReadEvery, KeepDeleted: settings.ReturnOfLapsed, Changed: p.serversChanged,
 		}),
 		TableEntries: mirror.New(d, clock, log, mirror.Options{
 			Prefix: d.Prefix(TableEntries), Interval: entriesEvery, Changed: p.entriesChanged,
--- a/internal/run/direct/path_test.go
+++ b/internal/run/direct/path_test.go
@@ -176,7 +176,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	p, err := direct.New(ctx, direct.Settings{
 		Steering: steer.Settings{Name: "entry-" + ip, Zone: "z1", Region: "r", RetryRatio: 0.2, RetryAllowance: 20, RetryWindow: 10 * time.Second},
-		Requests: address, Reports: reportsPort, Tables: reportsPort + 1, LookupTTL: time.Second, StopWithin: stop, HeldBytes: 1 << 20,
+		Requests: address, Reports: reportsPort, Tables: reportsPort + 1, LookupTTL: time.Second, StopWithin: stop, ReadEvery: 200 * time.Millisecond, HeldBytes: 1 << 20,
 	}, v, timer.NewSystem(), zap.New(core), metrics.New())
 	require.NoError(t, err)
 	e := &runningEntry{Process: p, view: v, address: address.String(), logs: logs, done: make(chan struct{})}
--- a/internal/run/direct/settings.go
+++ b/internal/run/direct/settings.go
@@ -26,6 +26,8 @@
 	LookupTTL time.Duration
 	// StopWithin is the time from a stop request to the end of the process.
 	StopWithin time.Duration
+	// ReadEvery is how old the copies of orders and servers may grow.
+	ReadEvery time.Duration
 	// ReturnOfLapsed is how long after an outage of the store a server whose entry
 	// has lapsed may take to be listed again.
 	ReturnOfLapsed time.Duration
