Tell only own readings of the store

Entry VMs passed on how old their copies were; the time on the way was lost each time, so two that told each other never saw their copies age. Change: only those that read a table tell when, and they tell other regions more often. A test lets two mirrors tell each other with a delay.

--- a/internal/run/direct/peers.go
+++ b/internal/run/direct/peers.go
@@ -12,6 +12,7 @@
 
 	"github.com/greengagetally/greengagetally/internal/run/mirror"
 	steer "github.com/greengagetally/greengagetally/internal/steer/direct"
+	"github.com/greengagetally/greengagetally/internal/value/option"
 	"github.com/greengagetally/greengagetally/internal/value/rendezvous"
 	"github.com/greengagetally/greengagetally/internal/wire/gossip"
 )
@@ -24,6 +25,9 @@
 	// presenceEvery is how often the entry VMs that do not tell their region's sums
 	// show the other regions that they live.
 	presenceEvery = 700 * time.Millisecond
+	// readerPresence is the same for those that read tables for all: the others must
+	// hear of their readings before they read themselves.
+	readerPresence = 200 * time.Millisecond
 	// reportsOld is the age from which a report is not part of a sum.
 	reportsOld = 1200 * time.Millisecond
 	// rememberFor is how long an entry VM that is gone still counts in the division
@@ -148,8 +152,12 @@
 	if !ok {
 		return
 	}
-	older := m.Heard(t.Revision, time.Duration(t.AgeMillis)*time.Millisecond)
-	revision, _, _ := m.Status()
+	readAge := option.None[time.Duration]()
+	if t.Read {
+		readAge = option.Some(time.Duration(t.AgeMillis) * time.Millisecond)
+	}
+	older := m.Heard(t.Revision, readAge)
+	revision, _ := m.Revision()
 	p.peers.mu.Lock()
 	defer p.peers.mu.Unlock()
 	behind, ok := p.peers.behind[table]
@@ -173,7 +181,7 @@
 
 func (p *Process) copyTable(table string, from netip.Addr) {
 	m := p.mirrors[table]
-	base, _, _ := m.Status()
+	base, _ := m.Revision()
 	var d mirror.Delta
 	if err := p.bus.Fetch(p.ctx, from, table, base, &d); errors.Is(err, gossip.ErrBusy) {
 		p.log.Debug("an entry VM sends other copies", zap.String("table", table), zap.Stringer("from", from))
@@ -223,13 +231,24 @@
 		case tells && now-lastFar >= interval(len(far)):
 			lastFar = now
 			p.send(p.message(gossip.ScopeRegion), far)
-		case !tells && now-lastPresence >= presenceEvery:
+		case !tells && now-lastPresence >= p.presence():
 			lastPresence = now
 			p.send(p.message(gossip.ScopePresence), far)
 		}
 	}
 }
 
+// presence returns the time between reports without counts to other regions.
+func (p *Process) presence() time.Duration {
+	for _, m := range p.mirrors {
+		if _, ok := m.ReadAge(); ok {
+			return readerPresence
+		}
+	}
+
+	return presenceEvery
+}
+
 // interval returns the time between reports to a number of entry VMs.
 func interval(n int) time.Duration {
 	return reportEvery * time.Duration(n/reportFleet)
@@ -259,8 +278,9 @@
 		Requests: p.self.Requests.String(), Tables: map[string]gossip.Table{}, Scope: scope, Strength: p.settings.Strength,
 	}
 	for table, mirror := range p.mirrors {
-		if revision, age, ok := mirror.Status(); ok {
-			m.Tables[table] = gossip.Table{Revision: revision, AgeMillis: age.Milliseconds(), Failing: mirror.Failing()}
+		if revision, ok := mirror.Revision(); ok {
+			age, read := mirror.ReadAge()
+			m.Tables[table] = gossip.Table{Revision: revision, Read: read, AgeMillis: age.Milliseconds(), Failing: mirror.Failing()}
 		}
 	}
 	if scope == gossip.ScopePresence {
--- a/internal/run/mirror/mirror.go
+++ b/internal/run/mirror/mirror.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 
 	"github.com/greengagetally/greengagetally/internal/clock/timer"
+	"github.com/greengagetally/greengagetally/internal/value/option"
 )
 
 // Item is a key of the store with its value.
@@ -55,6 +56,8 @@
 	// that a store that is away is not asked by all.
 	placeDelay = 250 * time.Millisecond
 	maxPlace   = 8
+	// tellReading is how long a reading is told to others.
+	tellReading = 2 * time.Second
 	// maxTombstones bounds the deletions that are remembered for copies.
 	maxTombstones = 1024
 )
@@ -104,8 +107,10 @@
 	loaded   bool
 	reading  bool
 	nextRead time.Duration
-	// current is when the copy was known to be that of the store.
+	// current is when the copy was known to be that of the store; readAt is when
+	// this entry VM read it itself.
 	current time.Duration
+	readAt  time.Duration
 	// lost is true while the store does not answer; found is when it was back.
 	lost  bool
 	found time.Duration
@@ -135,13 +140,24 @@
 	return m.loaded
 }
 
-// Status returns the revision of the copy and how long ago it was known to be
-// that of the store; ok is false before the first copy.
-func (m *Mirror) Status() (revision uint64, age time.Duration, ok bool) {
+// Revision returns the revision of the copy; ok is false before the first one.
+func (m *Mirror) Revision() (revision uint64, ok bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 
-	return m.now.Revision, m.clock.Now() - m.current, m.loaded
+	return m.now.Revision, m.loaded
+}
+
+// ReadAge returns how long ago this entry VM read the table from the store itself;
+// ok is false when it has not done so lately. Only own readings are told: ages that
+// are passed on lose the time on their way each time, and two entry VMs that tell
+// each other would never see theirs grow.
+func (m *Mirror) ReadAge() (age time.Duration, ok bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	age = m.clock.Now() - m.readAt
+
+	return age, m.loaded && m.readAt > 0 && age < tellReading
 }
 
 // Failing reports whether the last reading failed.
@@ -236,7 +252,7 @@
 		m.lost, m.found = false, m.clock.Now()
 		m.log.Info("store answers", zap.Uint64("revision", revision), zap.Int("items", len(items)))
 	}
-	m.current = max(m.current, start)
+	m.current, m.readAt = max(m.current, start), start
 	if m.loaded && revision <= m.now.Revision {
 		m.mu.Unlock()
 
@@ -283,15 +299,15 @@
 	m.deleted[key] = revision
 }
 
-// Heard notes that another entry VM knew, age ago, that its copy of a revision
-// was that of the store. It reports whether the own copy is older.
-func (m *Mirror) Heard(revision uint64, age time.Duration) bool {
+// Heard notes the revision of another entry VM's copy, and how long ago that one
+// read it from the store, if it did. It reports whether the own copy is older.
+func (m *Mirror) Heard(revision uint64, readAge option.Option[time.Duration]) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if !m.loaded || revision > m.now.Revision {
 		return true
 	}
-	if revision == m.now.Revision {
+	if age, ok := readAge.Get(); ok && revision == m.now.Revision {
 		m.current = max(m.current, m.clock.Now()-age)
 	}
 
--- a/internal/run/mirror/mirror_test.go
+++ b/internal/run/mirror/mirror_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/greengagetally/greengagetally/internal/clock/timer"
 	"github.com/greengagetally/greengagetally/internal/run/mirror"
+	"github.com/greengagetally/greengagetally/internal/value/option"
 )
 
 var errAway = errors.New("store is away")
@@ -112,11 +113,11 @@
 	t.Parallel()
 	b := newBench(newStore(1), 0)
 	b.mirror.Read(t.Context())
-	revision, _, ok := b.mirror.Status()
+	revision, ok := b.mirror.Revision()
 	require.True(t, ok)
 	for range 20 {
 		b.clock.Advance(400 * time.Millisecond)
-		require.False(t, b.mirror.Heard(revision, 100*time.Millisecond))
+		require.False(t, b.mirror.Heard(revision, option.Some(100*time.Millisecond)))
 		require.False(t, b.mirror.Due(0, 0))
 	}
 	b.clock.Advance(450 * time.Millisecond)
@@ -135,9 +136,9 @@
 	s.put("t/1", "y")
 	s.remove("t/2")
 	ahead.mirror.Read(t.Context())
-	revision, _, _ := ahead.mirror.Status()
-	require.True(t, behind.mirror.Heard(revision, 0))
-	base, _, _ := behind.mirror.Status()
+	revision, _ := ahead.mirror.Revision()
+	require.True(t, behind.mirror.Heard(revision, option.None[time.Duration]()))
+	base, _ := behind.mirror.Revision()
 	old := behind.mirror.Since(0)
 	// The first copy has no deletions to tell, so the whole table is taken.
 	require.True(t, behind.mirror.Adopt(base, ahead.mirror.Since(0)))
@@ -157,7 +158,7 @@
 	s.put("t/9", "new")
 	s.remove("t/0")
 	ahead.mirror.Read(t.Context())
-	base, _, _ := behind.mirror.Status()
+	base, _ := behind.mirror.Revision()
 	delta := ahead.mirror.Since(base)
 	require.False(t, delta.Whole)
 	require.Len(t, delta.Items, 1)
@@ -194,3 +195,31 @@
 	b.mirror.Read(t.Context())
 	require.Equal(t, []string{"t/1", "t/2"}, b.keys())
 }
+
+// Guards against entry VMs that keep each other's copies young although none reads
+// the store: what they tell each other takes time on its way.
+func TestCopiesGrowOldWhenNobodyReads(t *testing.T) {
+	t.Parallel()
+	s := newStore(1)
+	a, b := newBench(s, 0), newBench(s, 0)
+	a.mirror.Read(t.Context())
+	base, _ := a.mirror.Revision()
+	b.mirror.Adopt(0, a.mirror.Since(0))
+	tell := func(from, to *bench) {
+		age, ok := from.mirror.ReadAge()
+		told := option.None[time.Duration]()
+		if ok {
+			told = option.Some(age)
+		}
+		require.False(t, to.mirror.Heard(base, told))
+	}
+	const transit = 100 * time.Millisecond
+	for range 20 {
+		tell(a, b)
+		tell(b, a)
+		a.clock.Advance(transit)
+		b.clock.Advance(transit)
+	}
+	require.True(t, a.mirror.Due(0, 0))
+	require.True(t, b.mirror.Due(0, 0))
+}
--- a/internal/wire/gossip/gossip.go
+++ b/internal/wire/gossip/gossip.go
@@ -73,8 +73,9 @@
 // Table describes a copy of one of the store's tables.
 type Table struct {
 	Revision uint64 `cbor:"1,keyasint"`
-	// AgeMillis is how long ago the copy was known to be that of the store.
-	AgeMillis int64 `cbor:"2,keyasint"`
+	// AgeMillis is how long ago the sender read it from the store, if Read is true.
+	AgeMillis int64 `cbor:"2,keyasint,omitempty"`
+	Read      bool  `cbor:"4,keyasint,omitempty"`
 	// Failing is true when the sender's last reading from the store failed.
 	Failing bool `cbor:"3,keyasint,omitempty"`
 }
