--- a/internal/run/direct/peers.go
+++ b/internal/run/direct/peers.go
@@ -39,7 +39,7 @@
 	aliveFor = 2 * time.Second
 	// copyFarAfter is how long a table of an entry VM in another region may be
 	// newer before it is copied; one in the own region is copied at once.
-	copyFarAfter = 120 * time.Millisecond
+	copyFarAfter = 40 * time.Millisecond
 	// maxNamed bounds the entry VMs of one lookup.
 	maxNamed = 64
 )
@@ -258,12 +258,11 @@
 func (p *Process) tell() {
 	near, far, tells := p.peers.audience(p.clock.Now())
 	p.send(p.message(gossip.ScopeEntry), near)
-	switch {
-	case tells:
-		p.send(p.message(gossip.ScopeRegion), far)
-	case p.stopping.Load():
-		p.send(p.message(gossip.ScopePresence), far)
+	scope := gossip.ScopePresence
+	if tells {
+		scope = gossip.ScopeRegion
 	}
+	p.send(p.message(scope), far)
 }
 
 func (p *Process) send(m gossip.Message, to []netip.AddrPort) {
--- a/internal/run/mirror/mirror.go
+++ b/internal/run/mirror/mirror.go
@@ -111,6 +111,9 @@
 	// this entry VM read it itself.
 	current time.Duration
 	readAt  time.Duration
+	// reread is when deleted items were held long enough; copies from others would
+	// not tell of their deletion again.
+	reread time.Duration
 	// lost is true while the store does not answer; found is when it was back.
 	lost  bool
 	found time.Duration
@@ -181,6 +184,10 @@
 		return false
 	}
 
+	if m.reread > 0 && now >= m.reread {
+		return true
+	}
+
 	return !m.loaded || now >= m.current+m.options.Interval+time.Duration(min(rank, maxRank))*rankDelay
 }
 
@@ -258,6 +265,7 @@
 
 		return false
 	}
+	m.reread = 0
 	changed := !m.loaded || m.merge(items, revision)
 	m.loaded = true
 	if changed {
@@ -281,6 +289,7 @@
 		switch {
 		case !ok && keep:
 			items[key] = old
+			m.reread = m.found + m.options.KeepDeleted
 		case !ok:
 			m.bury(key, revision)
 			changed = true
--- a/internal/run/mirror/mirror_test.go
+++ b/internal/run/mirror/mirror_test.go
@@ -192,6 +192,9 @@
 	require.Len(t, b.keys(), 3)
 	b.store.put("t/1", string(lapsed.Value))
 	b.clock.Advance(keep + time.Second)
+	revision, _ := b.mirror.Revision()
+	b.mirror.Heard(revision, option.Some(time.Duration(0)))
+	require.True(t, b.mirror.Due(3, 3), "nobody else tells of the deletion again")
 	b.mirror.Read(t.Context())
 	require.Equal(t, []string{"t/1", "t/2"}, b.keys())
 }
--- a/internal/wire/gossip/gossip.go
+++ b/internal/wire/gossip/gossip.go
@@ -27,7 +27,7 @@
 	// maxCopyBytes bounds a compressed table.
 	maxCopyBytes = 16 << 20
 	// copyTimeout bounds the transfer of a table.
-	copyTimeout = 800 * time.Millisecond
+	copyTimeout = 400 * time.Millisecond
 )
 
 // ErrBusy is returned by an entry VM that is sending enough copies.
