--- a/internal/steer/direct/cold.go
+++ b/internal/steer/direct/cold.go
@@ -8,8 +8,8 @@
 )
 
 // coldShare is the part of a cold server's rate that the entry VMs use together;
-// the rest covers entry VMs that disagree about who lives.
-const coldShare = 0.7
+// the rest covers those that do not know yet that it is cold, or who lives.
+const coldShare = 0.5
 
 // coldSpacing keeps two requests out of one second although timers are late.
 const coldSpacing = 1.05
