Keep the servers' addresses instead of decoding the list again

Cause: the read-through found that the review of idle connections decoded the whole list of servers every 2 s and passed over its error, and a field that nothing read. Change: the addresses are kept when the list changes; the field is gone. Behaviour is the same.

--- a/internal/run/direct/entry.go
+++ b/internal/run/direct/entry.go
@@ -54,9 +54,11 @@
 	// ctx ends with the process.
 	ctx context.Context
 
-	intent   atomic.Pointer[intent.Intent]
-	stopping atomic.Bool
-	held     atomic.Int64
+	intent atomic.Pointer[intent.Intent]
+	// addresses are those of the listed backend servers, by identity.
+	addresses atomic.Pointer[map[string]string]
+	stopping  atomic.Bool
+	held      atomic.Int64
 
 	mu      sync.Mutex
 	state   steer.State
@@ -80,6 +82,7 @@
 		waiting: map[steer.RequestID]chan steer.Effect{},
 		pool:    http1.NewPool(d.Names()),
 	}
+	p.addresses.Store(&map[string]string{})
 	p.peers = newPeers(p.self)
 	p.listener = http1.NewListener(d.Names(), p, p.bounds)
 	p.mirrors = map[string]*mirror.Mirror{
@@ -238,11 +241,7 @@
 
 func (p *Process) prune(ctx context.Context) {
 	for range p.clock.Subscribe(ctx, pruneEvery) {
-		servers, _ := p.deployment.Servers(p.mirrors[TableServers].Snapshot().Items)
-		known := make(map[string]string, len(servers))
-		for _, s := range servers {
-			known[s.ID] = s.Address
-		}
+		known := *p.addresses.Load()
 		p.pool.Prune(func(t http1.Target) bool { return known[t.Instance] == t.Address })
 	}
 }
--- a/internal/run/direct/tables.go
+++ b/internal/run/direct/tables.go
@@ -30,11 +30,14 @@
 		p.log.Warn("entries of backend servers cannot be read, the others hold", zap.Uint64("revision", s.Revision), zap.Error(err))
 	}
 	leaving := 0
+	addresses := make(map[string]string, len(servers))
 	for _, server := range servers {
+		addresses[server.ID] = server.Address
 		if server.Leaving {
 			leaving++
 		}
 	}
+	p.addresses.Store(&addresses)
 	p.apply(steer.ServersKnown{At: p.at(), Servers: servers})
 	p.log.Info("backend servers known", zap.Int("servers", len(servers)), zap.Int("leaving", leaving), zap.Uint64("revision", s.Revision))
 }
--- a/internal/steer/direct/attempt.go
+++ b/internal/steer/direct/attempt.go
@@ -102,7 +102,7 @@
 		}
 	}
 	if load, ok := e.Load.Get(); ok {
-		to.slowdown, to.slowdownAt, to.waiting = load.Slowdown, s.now, load.Waiting
+		to.slowdown, to.slowdownAt = load.Slowdown, s.now
 	}
 	s.learnCold(to, e.Cold)
 	if e.Outcome == Unknown && !e.TimedOut {
--- a/internal/steer/direct/server.go
+++ b/internal/steer/direct/server.go
@@ -54,7 +54,6 @@
 	// slowdown is the server's last report and when it came.
 	slowdown   float64
 	slowdownAt time.Duration
-	waiting    int
 	// pace compares the time of answers with the usual one of their routes.
 	pace     ewma.Mean
 	failures ewma.Mean
