Bound what backend servers may send

Cause: http.ReadResponse reads a header of any length; a server that never ends a header field grew the process until it was killed. The skipped body of a response to another request was cut at 256 KB and its rest read as a response. A response with Not-Run and no identifier counted as the response to whatever request was next on the connection, so a late copy told a caller "not run" for a request that then ran. Numbers out of range in headers were converted with results that differ between arm64 and amd64.

Change: bounds on the header (64 KB) and the skipped body (256 KB), beyond which the connection is closed and the attempt counts as one that may have run; a response without an identifier counts on new connections only, and a request without one uses a connection of its own; package units converts numbers with stated ranges. Leaving and Retry-After of a 503 are parsed.

--- a/internal/wire/http1/attempt.go
+++ b/internal/wire/http1/attempt.go
@@ -1,7 +1,6 @@
 package http1
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"errors"
@@ -44,6 +43,10 @@
 	ColdFor option.Option[time.Duration]
 	// OtherInstance is true when another server has taken over the address.
 	OtherInstance bool
+	// Leaving is true when the server says that it is leaving and wants no new requests.
+	Leaving bool
+	// PauseFor is how long the server wants no request from this entry VM.
+	PauseFor option.Option[time.Duration]
 	// TimedOut is true when the deadline ended the attempt.
 	TimedOut bool
 	// DialTook is the time that a new connection took, 0 for a reused one.
@@ -56,9 +59,6 @@
 	// maxBufferedResponse is the size in bytes of the longest body that is read
 	// completely before the caller gets its first byte. A longer body is streamed.
 	maxBufferedResponse = 256 << 10
-	// maxResponsesRead is how many responses an attempt reads to find the response to its
-	// own request. Interim responses and responses to other requests are skipped.
-	maxResponsesRead = 3
 	// maxInlineBody is the size in bytes of the longest request body that is written before
 	// the response is read.
 	maxInlineBody = 32 << 10
@@ -68,7 +68,8 @@
 // It fails when ctx ends. The caller must close Response.Rest; reading from it fails when
 // ctx ends, too.
 func (p *Pool) Do(ctx context.Context, to Target, r *Request) Result {
-	c, err := p.get(ctx, to)
+	// A late response to another request cannot be told apart without an identifier.
+	c, err := p.get(ctx, to, r.ID != "")
 	if err != nil {
 		return Result{Outcome: NotSent, Err: err, TimedOut: ctx.Err() != nil}
 	}
@@ -107,7 +108,7 @@
 	}
 	result := p.parseResult(resp)
 	result.Response = Response{Status: resp.StatusCode, Header: endToEndHeader(resp.Header), Length: resp.ContentLength}
-	mustClose := resp.Close
+	mustClose := resp.Close || r.ID == ""
 	buffered, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedResponse+1))
 	if err != nil {
 		return Result{Outcome: Unknown, Load: result.Load, Err: fmt.Errorf("read response: %w", err)}
@@ -168,58 +169,6 @@
 // errNothingSent means that the connection took no byte of a request.
 var errNothingSent = errors.New("no byte was sent")
 
-// errNoMatchingResponse means that an attempt found no response to its own request. All
-// responses that it read were interim ones or belong to other requests, or the server
-// switched the protocol.
-var errNoMatchingResponse = errors.New("backend server sent only interim responses or responses to other requests")
-
-// readResponse returns the response to r. It skips responses with another request
-// identifier, which are left over from earlier requests. Only a response with the header
-// Names.NotRun may lack the identifier.
-func (p *Pool) readResponse(c *serverConn, r *Request) (*http.Response, error) {
-	for range maxResponsesRead {
-		resp, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
-		if err != nil {
-			return nil, fmt.Errorf("read response: %w", err)
-		}
-		if resp.StatusCode < http.StatusOK {
-			if resp.StatusCode == http.StatusSwitchingProtocols {
-				return nil, errNoMatchingResponse
-			}
-
-			continue
-		}
-		if id := resp.Header.Get(p.names.RequestID); id == r.ID || (id == "" && resp.Header.Get(p.names.NotRun) != "") {
-			return resp, nil
-		}
-		if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxBufferedResponse)); err != nil {
-			return nil, fmt.Errorf("skip response to another request: %w", err)
-		}
-	}
-
-	return nil, errNoMatchingResponse
-}
-
-// parseResult returns what the status and the headers say about the request and the
-// server.
-func (p *Pool) parseResult(resp *http.Response) Result {
-	result := Result{Outcome: Answered}
-	if load, ok := parseLoad(resp.Header.Get(p.names.Load)); ok {
-		result.Load = option.Some(load)
-	}
-	if ms, err := strconv.ParseFloat(resp.Header.Get(p.names.ColdMillis), 64); err == nil && ms > 0 {
-		result.ColdFor = option.Some(time.Duration(ms * float64(time.Millisecond)))
-	}
-	switch {
-	case resp.StatusCode == http.StatusMisdirectedRequest:
-		result.Outcome, result.OtherInstance = NotRun, true
-	case resp.Header.Get(p.names.NotRun) != "":
-		result.Outcome = NotRun
-	}
-
-	return result
-}
-
 // encodeHeader returns the request line and the header for a server, with the time left
 // until the deadline of ctx.
 func (p *Pool) encodeHeader(ctx context.Context, to Target, r *Request) *bytes.Buffer {
@@ -256,38 +205,6 @@
 	return out
 }
 
-// Health is the response of a server's health path.
-type Health struct {
-	Result
-
-	// Healthy is true when the status is 200.
-	Healthy bool
-	// Instance is the identity of the server that responded.
-	Instance string
-}
-
-// Probe requests a server's health path on a connection of its own. It fails when there
-// is no response before ctx ends.
-func (p *Pool) Probe(ctx context.Context, to Target, path string) (Health, error) {
-	raw, err := p.dialer.DialContext(ctx, "tcp", to.Address)
-	if err != nil {
-		return Health{}, fmt.Errorf("connect to backend server %s: %w", to.Address, err)
-	}
-	defer func() { _ = raw.Close() }()
-	stop := context.AfterFunc(ctx, func() { _ = raw.SetDeadline(time.Unix(1, 0)) })
-	defer stop()
-	if _, err := fmt.Fprintf(raw, "GET %s HTTP/1.1\r\nHost: %s\r\nConnection: close\r\n\r\n", path, to.Address); err != nil {
-		return Health{}, fmt.Errorf("send probe: %w", err)
-	}
-	resp, err := http.ReadResponse(bufio.NewReaderSize(raw, responseBufferSize), nil)
-	if err != nil {
-		return Health{}, fmt.Errorf("read response of health path: %w", err)
-	}
-	defer func() { _ = resp.Body.Close() }()
-
-	return Health{Result: p.parseResult(resp), Healthy: resp.StatusCode == http.StatusOK, Instance: resp.Header.Get(p.names.Instance)}, nil
-}
-
 // streamedBody is the rest of a response that is too long to be held; its connection is
 // not reused.
 type streamedBody struct {
--- a/internal/wire/http1/caller.go
+++ b/internal/wire/http1/caller.go
@@ -12,6 +12,8 @@
 	"strconv"
 	"sync"
 	"time"
+
+	"github.com/greengagetally/greengagetally/internal/value/units"
 )
 
 const (
@@ -58,7 +60,7 @@
 }
 
 func newCallerConn(l *Listener, raw net.Conn) *callerConn {
-	limited := &limitedReader{source: raw}
+	limited := &limitedReader{source: raw, remaining: -1}
 
 	return &callerConn{
 		listener: l, raw: raw, limited: limited,
@@ -66,8 +68,8 @@
 	}
 }
 
-// errHeaderTooLong means that the header of a request exceeds RequestLimits.HeaderBytes.
-var errHeaderTooLong = errors.New("header of the request is too long")
+// errHeaderTooLong means that the header of a request or a response exceeds its limit.
+var errHeaderTooLong = errors.New("header is too long")
 
 // limitedReader returns at most as many bytes as the field remaining says, then fails
 // with errHeaderTooLong. A negative value of remaining means no limit.
@@ -247,8 +249,8 @@
 		Object:  cookie(r.Header, c.listener.names.ObjectCookie),
 		hasBody: r.ContentLength != 0,
 	}
-	if ms, err := strconv.ParseInt(r.Header.Get(c.listener.names.Deadline), 10, 64); err == nil && ms > 0 {
-		req.Patience = time.Duration(ms) * time.Millisecond
+	if ms, err := strconv.ParseUint(r.Header.Get(c.listener.names.Deadline), 10, 64); err == nil {
+		req.Patience = units.ClampMillis(float64(ms))
 	}
 	req.Header = endToEndHeader(r.Header)
 	if r.Close || !r.ProtoAtLeast(1, 1) {
--- a/internal/wire/http1/listener_test.go
+++ b/internal/wire/http1/listener_test.go
@@ -22,7 +22,7 @@
 
 var testNames = http1.Names{
 	RequestID: "Request-Id", Deadline: "Deadline-Ms", ObjectCookie: "object", ExpectInstance: "Expect-Instance",
-	NotRun: "Not-Run", Load: "Load", Instance: "Instance", ColdMillis: "Cold-Ms",
+	NotRun: "Not-Run", Leaving: "Leaving", Load: "Load", Instance: "Instance", ColdMillis: "Cold-Ms",
 }
 
 // handlerFunc adapts a function to http1.Handler.
--- a/internal/wire/http1/message.go
+++ b/internal/wire/http1/message.go
@@ -6,6 +6,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/greengagetally/greengagetally/internal/value/units"
 )
 
 // Request is a caller's request with its whole body.
@@ -52,7 +54,16 @@
 	Slowdown float64
 }
 
-// parseLoad parses the header Names.Load: "running,waiting,slots[,percent]".
+const (
+	// maxLoadCount and maxLoadPercent bound the numbers of the header Names.Load.
+	maxLoadCount   = 1 << 20
+	maxLoadPercent = 100_000
+	// maxKeepAlive bounds the idle timeout that a server states.
+	maxKeepAlive = time.Hour
+)
+
+// parseLoad parses the header Names.Load: "running,waiting,slots[,percent]". A header with
+// a number out of range is not used.
 func parseLoad(value string) (Load, bool) {
 	fields := splitList(value)
 	if len(fields) < 3 {
@@ -61,12 +72,15 @@
 	numbers := make([]int, len(fields))
 	for i, f := range fields {
 		n, err := strconv.Atoi(f)
-		if err != nil || n < 0 {
+		if err != nil || n < 0 || n > maxLoadCount {
 			return Load{}, false
 		}
 		numbers[i] = n
 	}
 	load := Load{RunningRequests: numbers[0], WaitingRequests: numbers[1], Slots: numbers[2], Slowdown: 1}
+	if len(numbers) > 3 && numbers[3] > maxLoadPercent {
+		return Load{}, false
+	}
 	if len(numbers) > 3 && numbers[3] > 0 {
 		load.Slowdown = float64(numbers[3]) / 100
 	}
@@ -89,8 +103,8 @@
 func keepAliveTimeout(h http.Header) (time.Duration, bool) {
 	for _, part := range splitList(h.Get("Keep-Alive")) {
 		if value, ok := strings.CutPrefix(part, "timeout="); ok {
-			if n, err := strconv.Atoi(value); err == nil && n >= 0 {
-				return time.Duration(n) * time.Second, true
+			if n, err := strconv.ParseUint(value, 10, 64); err == nil {
+				return units.ClampSeconds(float64(n), maxKeepAlive), true
 			}
 		}
 	}
--- a/internal/wire/http1/names.go
+++ b/internal/wire/http1/names.go
@@ -22,6 +22,8 @@
 	ExpectInstance string
 	// NotRun marks the response of a server that did not run the request.
 	NotRun string
+	// Leaving is "1" in every response of a server that is leaving.
+	Leaving string
 	// Load is "running,waiting,slots[,percent]": two counts of requests, the number of
 	// slots, and the processing time in percent of the usual one.
 	Load string
--- a/internal/wire/http1/pool.go
+++ b/internal/wire/http1/pool.go
@@ -11,6 +11,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/greengagetally/greengagetally/internal/value/units"
 )
 
 const (
@@ -70,9 +72,10 @@
 
 // serverConn is a connection to a backend server; it carries one request at a time.
 type serverConn struct {
-	raw    net.Conn
-	reader *bufio.Reader
-	target Target
+	raw     net.Conn
+	limited *limitedReader
+	reader  *bufio.Reader
+	target  Target
 	// usableUntil is when an idle connection gets too old to be reused.
 	usableUntil time.Time
 	reused      bool
@@ -81,9 +84,16 @@
 	dialTook time.Duration
 }
 
-// get returns an idle connection that can be reused, or opens one.
-func (p *Pool) get(ctx context.Context, to Target) (*serverConn, error) {
-	for {
+func newServerConn(raw net.Conn, to Target) *serverConn {
+	limited := &limitedReader{source: raw, remaining: -1}
+
+	return &serverConn{raw: raw, limited: limited, reader: bufio.NewReaderSize(limited, responseBufferSize), target: to}
+}
+
+// get returns an idle connection that can be reused, or opens one. If mayReuse is false,
+// it always opens one.
+func (p *Pool) get(ctx context.Context, to Target, mayReuse bool) (*serverConn, error) {
+	for mayReuse {
 		c := p.takeIdle(to)
 		if c == nil {
 			break
@@ -104,7 +114,10 @@
 	p.opened++
 	p.mu.Unlock()
 
-	return &serverConn{raw: raw, reader: bufio.NewReaderSize(raw, responseBufferSize), target: to, dialTook: time.Since(start)}, nil
+	c := newServerConn(raw, to)
+	c.dialTook = time.Since(start)
+
+	return c, nil
 }
 
 // takeIdle removes and returns the idle connection that was used last, or nil.
@@ -134,7 +147,7 @@
 
 		return
 	}
-	c.usableUntil = time.Now().Add(time.Duration(idleTimeoutShare * float64(timeout))) //nolint:forbidigo // Deadlines of connections are wall-clock times.
+	c.usableUntil = time.Now().Add(units.ClampSeconds(idleTimeoutShare*timeout.Seconds(), timeout)) //nolint:forbidigo // Deadlines of connections are wall-clock times.
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.idle[c.target] = append(p.idle[c.target], c)
--- a/internal/wire/platform/client.go
+++ b/internal/wire/platform/client.go
@@ -23,6 +23,8 @@
 	// watchTimeout bounds a call that waits for a change. It leaves the service 5 s to
 	// answer after the wait.
 	watchTimeout = (watchSeconds + 5) * time.Second
+	// maxHeaderBytes bounds the header of an answer.
+	maxHeaderBytes = 64 << 10
 )
 
 // Client implements Store by calls to the platform's HTTP service.
@@ -35,7 +37,7 @@
 
 // NewClient returns a client of the service at url; it fails when url is malformed.
 func NewClient(url string) (*Client, error) {
-	transport := &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: 90 * time.Second, DisableCompression: true}
+	transport := &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: 90 * time.Second, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes}
 	api, err := platformapi.NewClient(url, platformapi.WithClient(&http.Client{Transport: transport}))
 	if err != nil {
 		return nil, fmt.Errorf("platform client: %w", err)
