--- a/internal/run/direct/entryvm.go
+++ b/internal/run/direct/entryvm.go
@@ -82,8 +82,6 @@
 	stopping atomic.Bool
 	// busy is true while the processor is too slow for its work.
 	busy atomic.Bool
-	// bufferedBodyBytes is the size of all request bodies held in memory.
-	bufferedBodyBytes atomic.Int64
 
 	// mu guards the fields below, and the fields of settings that Reload changes.
 	mu    sync.Mutex
@@ -112,7 +110,7 @@
 	}
 	p.serverAddresses.Store(&map[string]string{})
 	p.peers = newPeers(p.self)
-	p.listener = http1.NewListener(d.Names(), p, p.callerLimits)
+	p.listener = http1.NewListener(d.Names(), p, p.callerLimits, settings.MaxBufferedBodyBytes)
 	p.mirrors = map[string]*mirror.Mirror{
 		TableOperatorConfig: mirror.New(d, clock, log, mirror.Options{
 			Prefix: d.Prefix(TableOperatorConfig), MaxAge: settings.TableMaxAge, OnChange: p.operatorConfigChanged,
--- a/internal/run/direct/entryvm_test.go
+++ b/internal/run/direct/entryvm_test.go
@@ -283,10 +283,15 @@
 		require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
 		e.view.storeUnreachable.Store(false)
 	}
+	// An entry VM that starts later learns it from the others.
+	c := startEntryVM(t, d, "127.0.0.28", time.Second)
+	require.Eventually(t, func() bool {
+		return c.logs.FilterMessage("server state changed").FilterField(zap.String("state", "leaving")).Len() > 0
+	}, waitTimeout, 20*time.Millisecond)
 	d.change(direct.TableServers, func() {
 		d.servers = []steer.Server{leaving.listed("leaving", "z1"), other.listed("other", "z1")}
 	})
-	for _, e := range []*runningEntryVM{a, b} {
+	for _, e := range []*runningEntryVM{a, b, c} {
 		require.Eventually(t, func() bool {
 			resp, _ := sendRequest(t, e.address, http.MethodGet, "/read/third")
 
--- a/internal/run/direct/serve.go
+++ b/internal/run/direct/serve.go
@@ -47,13 +47,10 @@
 // Serve implements http1.Handler. It returns when the request is answered or its caller
 // has left.
 func (p *Process) Serve(exchange *http1.Exchange) {
-	if n := int64(len(exchange.Body)); n > 0 {
-		defer p.bufferedBodyBytes.Add(-n)
-		if p.bufferedBodyBytes.Add(n) > p.settings.MaxBufferedBodyBytes {
-			p.refuse(exchange, steer.ReasonMemory, refusalRetryAfter)
+	if exchange.BodyRefused {
+		p.refuse(exchange, steer.ReasonMemory, refusalRetryAfter)
 
-			return
-		}
+		return
 	}
 	current := p.intent.Load()
 	if current == nil {
--- /dev/null
+++ b/internal/wire/http1/body.go
@@ -0,0 +1,96 @@
+package http1
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// defaultHeaderBytes replaces RequestLimits.HeaderBytes while there is no limit.
+	defaultHeaderBytes = 64 << 10
+	// bodyBlock is the number of bytes by which the buffer of a body without a stated
+	// length grows.
+	bodyBlock = 32 << 10
+)
+
+// errNoBodyMemory means that the body of a request does not fit into the memory for
+// bodies.
+var errNoBodyMemory = errors.New("no memory for the body of the request")
+
+// bodyMemory bounds the bytes of all request bodies in memory.
+type bodyMemory struct {
+	limit int64
+	used  atomic.Int64
+}
+
+// reserve takes n bytes; it returns false, without taking any, if they are not free.
+func (m *bodyMemory) reserve(n int64) bool {
+	if m.used.Add(n) <= m.limit {
+		return true
+	}
+	m.used.Add(-n)
+
+	return false
+}
+
+func (m *bodyMemory) release(n int64) {
+	m.used.Add(-n)
+}
+
+// readBody returns the whole body, for which cap(body) bytes of memory are reserved. If
+// the request must be refused, it returns the HTTP status of the refusal instead;
+// otherwise the status is 0. Without enough memory it fails with errNoBodyMemory; a body
+// with a stated length is not read then.
+func (c *callerConn) readBody(r *http.Request, limits RequestLimits) (body []byte, status int, err error) {
+	size := r.ContentLength
+	if size < 0 {
+		size = bodyBlock
+	}
+	switch {
+	case r.ContentLength == 0:
+		return nil, 0, nil
+	case limits.BodyBytes > 0 && r.ContentLength > limits.BodyBytes:
+		return nil, http.StatusRequestEntityTooLarge, nil
+	case !c.listener.bodies.reserve(size):
+		return nil, 0, errNoBodyMemory
+	}
+	body = make([]byte, 0, size)
+	defer func() {
+		if status != 0 || err != nil {
+			c.listener.bodies.release(int64(cap(body)))
+			body = nil
+		}
+	}()
+	if r.Header.Get("Expect") != "" {
+		if _, err := io.WriteString(c.raw, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
+			return body, 0, fmt.Errorf("send 100 Continue: %w", err)
+		}
+	}
+	// The body may take as long as the caller needs to send it.
+	_ = c.raw.SetReadDeadline(time.Time{})
+	for {
+		if len(body) == cap(body) && r.ContentLength < 0 {
+			// Doubling keeps the copying of long bodies short.
+			if !c.listener.bodies.reserve(int64(cap(body))) {
+				return body, 0, errNoBodyMemory
+			}
+			grown := make([]byte, len(body), 2*cap(body))
+			copy(grown, body)
+			body = grown
+		}
+		n, err := r.Body.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case limits.BodyBytes > 0 && int64(len(body)) > limits.BodyBytes:
+			return body, http.StatusRequestEntityTooLarge, nil
+		case errors.Is(err, io.EOF):
+			return body, 0, nil
+		case err != nil:
+			return body, 0, fmt.Errorf("read body: %w", err)
+		}
+	}
+}
--- a/internal/wire/http1/caller.go
+++ b/internal/wire/http1/caller.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -168,7 +167,13 @@
 		if err != nil {
 			return err
 		}
-		c.listener.goroutines.Go(func() { c.listener.handler.Serve(x) })
+		c.listener.goroutines.Go(func() {
+			c.listener.handler.Serve(x)
+			c.listener.bodies.release(int64(cap(x.Body)))
+		})
+		if x.BodyRefused {
+			return errReadStopped
+		}
 	}
 }
 
@@ -226,9 +231,7 @@
 	if limits.HeaderTimeout > 0 {
 		_ = c.raw.SetReadDeadline(time.Now().Add(limits.HeaderTimeout)) //nolint:forbidigo // Deadlines of connections are wall-clock times.
 	}
-	if limits.HeaderBytes > 0 {
-		c.limited.remaining = max(limits.HeaderBytes-c.reader.Buffered(), 0)
-	}
+	c.limited.remaining = max(limits.HeaderBytes-c.reader.Buffered(), 0)
 	r, err := http.ReadRequest(c.reader)
 	c.limited.remaining = -1
 	if err != nil {
@@ -240,20 +243,21 @@
 		return nil, status, nil
 	}
 	body, status, err := c.readBody(r, limits)
-	if status != 0 || err != nil {
+	refused := errors.Is(err, errNoBodyMemory)
+	if status != 0 || err != nil && !refused {
 		return nil, status, err
 	}
 	req := &Request{
 		Method: r.Method, Target: r.RequestURI, Host: r.Host, Body: body,
 		ID:      r.Header.Get(c.listener.names.RequestID),
 		Object:  cookie(r.Header, c.listener.names.ObjectCookie),
-		hasBody: r.ContentLength != 0,
+		hasBody: r.ContentLength != 0, BodyRefused: refused,
 	}
 	if ms, err := strconv.ParseUint(r.Header.Get(c.listener.names.Deadline), 10, 64); err == nil {
 		req.Patience = units.ClampMillis(float64(ms))
 	}
 	req.Header = endToEndHeader(r.Header)
-	if r.Close || !r.ProtoAtLeast(1, 1) {
+	if r.Close || !r.ProtoAtLeast(1, 1) || refused {
 		c.mu.Lock()
 		c.readStopped = true
 		c.mu.Unlock()
@@ -278,41 +282,6 @@
 	return http.StatusBadRequest
 }
 
-// readBody returns the whole body. If the request must be refused, it returns the HTTP
-// status of the refusal instead; otherwise the status is 0.
-func (c *callerConn) readBody(r *http.Request, limits RequestLimits) ([]byte, int, error) {
-	if r.ContentLength == 0 {
-		return nil, 0, nil
-	}
-	if limits.BodyBytes > 0 && r.ContentLength > limits.BodyBytes {
-		return nil, http.StatusRequestEntityTooLarge, nil
-	}
-	if r.Header.Get("Expect") != "" {
-		if _, err := io.WriteString(c.raw, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
-			return nil, 0, fmt.Errorf("send 100 Continue: %w", err)
-		}
-	}
-	// The body may take as long as the caller needs to send it.
-	_ = c.raw.SetReadDeadline(time.Time{})
-	limit := limits.BodyBytes
-	if limit <= 0 {
-		limit = 1 << 40 // No limit in practice.
-	}
-	var body bytes.Buffer
-	if r.ContentLength > 0 {
-		body.Grow(int(min(r.ContentLength, 1<<20)))
-	}
-	n, err := io.Copy(&body, io.LimitReader(r.Body, limit+1))
-	if err != nil {
-		return nil, 0, fmt.Errorf("read body: %w", err)
-	}
-	if n > limit {
-		return nil, http.StatusRequestEntityTooLarge, nil
-	}
-
-	return body.Bytes(), 0, nil
-}
-
 // enqueue adds an exchange for a request. If no response to an earlier request is due,
 // the exchange may respond at once.
 func (c *callerConn) enqueue(req *Request) *Exchange {
--- a/internal/wire/http1/listener.go
+++ b/internal/wire/http1/listener.go
@@ -15,7 +15,8 @@
 	Serve(x *Exchange)
 }
 
-// RequestLimits are the limits on a caller's connection; 0 is no limit.
+// RequestLimits are the limits on a caller's connection; 0 is no limit, but for
+// HeaderBytes, where it is defaultHeaderBytes.
 type RequestLimits struct {
 	HeaderBytes int
 	BodyBytes   int64
@@ -31,6 +32,8 @@
 	handler Handler
 	// limits returns the limits in force.
 	limits func() RequestLimits
+	// bodies is the memory for the bodies of requests that are read and not yet answered.
+	bodies bodyMemory
 
 	// mu guards conns and draining.
 	mu       sync.Mutex
@@ -41,9 +44,21 @@
 }
 
 // NewListener returns a listener that passes requests to handler. It calls limits for
-// each request, so that changes apply to open connections too.
-func NewListener(names Names, handler Handler, limits func() RequestLimits) *Listener {
-	return &Listener{names: names, handler: handler, limits: limits, conns: map[*callerConn]struct{}{}}
+// each request, so that changes apply to open connections too. The bodies of all requests
+// that are read and not yet answered take at most maxBodyMemory bytes.
+func NewListener(names Names, handler Handler, limits func() RequestLimits, maxBodyMemory int64) *Listener {
+	withDefaults := func() RequestLimits {
+		l := limits()
+		if l.HeaderBytes <= 0 {
+			l.HeaderBytes = defaultHeaderBytes
+		}
+
+		return l
+	}
+
+	return &Listener{
+		names: names, handler: handler, limits: withDefaults, bodies: bodyMemory{limit: maxBodyMemory}, conns: map[*callerConn]struct{}{},
+	}
 }
 
 // acceptRetryPause is the wait after a failed accept, for example for lack of file
--- a/internal/wire/http1/listener_test.go
+++ b/internal/wire/http1/listener_test.go
@@ -20,6 +20,9 @@
 // testWait bounds every wait of these tests.
 const testWait = 10 * time.Second
 
+// testBodyMemory is the memory for bodies of a listener, in bytes.
+const testBodyMemory = 4 << 20
+
 var testNames = http1.Names{
 	RequestID: "Request-Id", Deadline: "Deadline-Ms", ObjectCookie: "object", ExpectInstance: "Expect-Instance",
 	NotRun: "Not-Run", Leaving: "Leaving", Load: "Load", Instance: "Instance", ColdMillis: "Cold-Ms",
@@ -35,7 +38,7 @@
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	listener := http1.NewListener(testNames, h, func() http1.RequestLimits { return limits })
+	listener := http1.NewListener(testNames, h, func() http1.RequestLimits { return limits }, testBodyMemory)
 	ctx, cancel := context.WithCancel(context.Background())
 	var done sync.WaitGroup
 	done.Go(func() { _ = listener.Serve(ctx, l) })
@@ -179,6 +182,74 @@
 	}
 }
 
+// Guards against bodies that fill the memory: a request whose body does not fit is refused
+// without its body being read, and the next one is served once there is room again.
+func TestBodiesThatDoNotFitAreRefused(t *testing.T) {
+	t.Parallel()
+	const size = testBodyMemory / 4
+	started, release := make(chan struct{}, 8), make(chan struct{})
+	_, address := startListener(t, func(x *http1.Exchange) {
+		if x.BodyRefused {
+			x.Respond(http1.Response{Status: 503})
+
+			return
+		}
+		started <- struct{}{}
+		<-release
+		x.Respond(http1.Response{Status: 200, Body: fmt.Appendf(nil, "%d", len(x.Body))})
+	}, http1.RequestLimits{})
+	post := func(header, body string) net.Conn {
+		c := dial(t, address)
+		go func() { _, _ = io.WriteString(c, "POST / HTTP/1.1\r\nHost: a\r\n"+header+"\r\n\r\n"+body) }()
+
+		return c
+	}
+	body := strings.Repeat("x", size)
+	withLength := func() net.Conn { return post(fmt.Sprintf("Content-Length: %d", size), body) }
+	var held []net.Conn
+	for range 4 {
+		held = append(held, withLength())
+		<-started
+	}
+	for _, c := range []net.Conn{
+		withLength(),
+		post("Transfer-Encoding: chunked", fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", size, body)),
+		// The body never comes: the refusal does not wait for it.
+		post(fmt.Sprintf("Content-Length: %d", 1<<40), ""),
+	} {
+		status, _, closes := readResponse(t, bufio.NewReader(c))
+		require.Equal(t, 503, status)
+		require.True(t, closes)
+	}
+	close(release)
+	for _, c := range held {
+		status, got, _ := readResponse(t, bufio.NewReader(c))
+		require.Equal(t, 200, status)
+		require.Equal(t, fmt.Sprint(size), got)
+	}
+	require.Eventually(t, func() bool {
+		status, _, _ := readResponse(t, bufio.NewReader(withLength()))
+
+		return status == 200
+	}, testWait, 10*time.Millisecond, "the memory of bodies is not released")
+}
+
+// Guards against a header without end before there is a configuration with a limit.
+func TestHeaderIsLimitedWithoutConfiguration(t *testing.T) {
+	t.Parallel()
+	_, address := startListener(t, func(x *http1.Exchange) { x.Respond(http1.Response{Status: 200}) }, http1.RequestLimits{})
+	c := dial(t, address)
+	go func() {
+		_, _ = io.WriteString(c, "GET / HTTP/1.1\r\nHost: a\r\nX: ")
+		for err := error(nil); err == nil; {
+			_, err = io.WriteString(c, strings.Repeat("x", 64<<10))
+		}
+	}()
+	status, _, closes := readResponse(t, bufio.NewReader(c))
+	require.Equal(t, 431, status)
+	require.True(t, closes)
+}
+
 // Guards against work that goes on after the caller has left. The caller asks for its
 // connection to be closed after the response, and leaves before the response.
 func TestCallerLeavesAfterItsLastRequest(t *testing.T) {
--- a/internal/wire/http1/message.go
+++ b/internal/wire/http1/message.go
@@ -26,6 +26,9 @@
 	// Patience is how long the caller says that it waits for the response, 0 when it
 	// does not say.
 	Patience time.Duration
+	// BodyRefused is true when there was no memory for the body. Body is empty then, the
+	// request must be refused, and the connection is closed after the response.
+	BodyRefused bool
 	// hasBody is true when the request has a Content-Length other than 0 or a chunked
 	// body, which may be empty.
 	hasBody bool
