Give a member of a region its share of tokens without waiting for callers

Cause: a recount grants tokens to the members that are registered by then, and tokens move later only when a request waits for one. An entry VM that registers after a recount and has no callers yet holds nothing; a second recount finds nothing left to grant. If the holder stops, the region serves nobody until the list of VMs shows it gone.

Change: a registered member asks a peer for its even share of each group of pools of which it holds nothing, in the pauses of other token requests.

--- a/internal/steer/region/region.go
+++ b/internal/steer/region/region.go
@@ -191,6 +191,7 @@
 	c.continueHandOver()
 	c.tickStore()
 	c.tickRecount()
+	c.requestMissingShares()
 	c.repeatAnnouncements()
 }
 
--- a/internal/steer/region/sim_test.go
+++ b/internal/steer/region/sim_test.go
@@ -59,6 +59,8 @@
 	lastReached     map[event.Member]time.Duration
 	config          *model.Config
 	requestsPerTick int
+	// idle is true for a node without callers.
+	idle bool
 }
 
 // sim simulates the entry VMs of one region with a faulty network, store and list
@@ -268,6 +270,9 @@
 // each. It requests tokens of a backend server that has none free, and now and then
 // of the links.
 func (s *sim) simulateLoad(n *node) {
+	if n.idle {
+		return
+	}
 	if s.rng.IntN(4) == 0 {
 		n.requestsPerTick = s.rng.IntN(8)
 	}
--- a/internal/steer/region/transfer.go
+++ b/internal/steer/region/transfer.go
@@ -113,6 +113,34 @@
 	return s, c.takeEffects()
 }
 
+// requestMissingShares asks a peer for this member's even share of each group of pools
+// of which it holds nothing. A recount grants tokens only to the members that are
+// registered by then, and callers may not have reached this member yet. If it waited for
+// them, it could serve nobody when the members that hold the tokens stop.
+func (c *core) requestMissingShares() {
+	if c.appliedEpoch == 0 {
+		return
+	}
+	held, wanted := map[string]int64{}, map[string][]*peerpb.PoolTokens{}
+	var groups []string
+	for _, name := range c.poolNames() {
+		p := c.pools[name]
+		held[p.group] += p.held
+		if p.leaving || p.removed {
+			continue
+		}
+		if wanted[p.group] == nil {
+			groups = append(groups, p.group)
+		}
+		wanted[p.group] = append(wanted[p.group], c.evenShare(p))
+	}
+	for _, group := range groups {
+		if held[group] == 0 && c.mayRequest(group) {
+			c.sendTokenRequest(group, wanted[group])
+		}
+	}
+}
+
 // evenShare returns the tokens to request of a pool: its capacity divided by the
 // number of live members, at least one token.
 func (c *core) evenShare(p *pool) *peerpb.PoolTokens {
