Send idle entry VMs little and spread reads of the store

Cause: in a large region the relay sent every digest, with the requests in flight at up to 1,212 servers, to all entry VMs ten times a second, although look-ups name only the strongest. Entry VMs whose copy of a table was late, or missing at the start, all read the store together, because ranks above 4 added no delay; a busy relay could serve 6 copies at a time and nobody else was asked.

Change: an entry VM without a request for 2 s says that it is idle; in a region of more than 16 it gets the members and sums of the region twice a second, without the requests in flight, and the state of the tables in between; its first request ends that at once. It reports a third as often. Copies are also requested from neighbours in the zone, so that they spread as a tree. Ranks above 4 add a small delay each, and a copy may be older while another entry VM is known to have read a newer one.

--- a/internal/run/direct/copy.go
+++ b/internal/run/direct/copy.go
@@ -16,9 +16,9 @@
 )
 
 const (
-	// copyRetryPause is the mean pause between requests for a copy to an entry VM that
-	// is busy sending other copies. maxCopyAttempts bounds these requests, including
-	// the first one.
+	// copyRetryPause is the mean pause between requests for a copy, while the entry VMs
+	// that were asked are busy sending other copies. maxCopyAttempts bounds these requests,
+	// including the first one.
 	copyRetryPause  = 25 * time.Millisecond
 	maxCopyAttempts = 12
 )
@@ -73,7 +73,9 @@
 	}
 }
 
-// copyTable copies the changes of a table from the entry VM at address.
+// copyTable copies the changes of a table from the entry VM at address. While that one is
+// busy, every other request goes to another entry VM of the zone, which may have received
+// a copy meanwhile. So a copy spreads as a tree.
 func (p *Process) copyTable(table string, address netip.Addr) {
 	m := p.mirrors[table]
 	base, _ := m.Revision()
@@ -81,7 +83,11 @@
 	err := p.bus.Fetch(p.ctx, address, table, base, &delta)
 	for attempts := 1; errors.Is(err, gossip.ErrBusy) && attempts < maxCopyAttempts && p.ctx.Err() == nil; attempts++ {
 		time.Sleep(time.Duration(2 * rand.Float64() * float64(copyRetryPause))) //nolint:gosec // Spreads retries.
-		err = p.bus.Fetch(p.ctx, address, table, base, &delta)
+		source := address
+		if neighbour, ok := p.peers.neighbour(p.clock.Now()); ok && attempts%2 == 1 {
+			source = neighbour
+		}
+		err = p.bus.Fetch(p.ctx, source, table, base, &delta)
 	}
 	switch {
 	case errors.Is(err, gossip.ErrBusy):
--- a/internal/run/direct/entryvm.go
+++ b/internal/run/direct/entryvm.go
@@ -80,6 +80,9 @@
 	serverAddresses atomic.Pointer[map[string]string]
 	// stopping is true once a stop was requested.
 	stopping atomic.Bool
+	// lastRequestAt is when a caller last sent a request, as a time.Duration since the
+	// start of the process.
+	lastRequestAt atomic.Int64
 	// busy is true while the processor is too slow for its work.
 	busy atomic.Bool
 
--- a/internal/run/direct/peers.go
+++ b/internal/run/direct/peers.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"sync"
@@ -123,6 +124,9 @@
 	currentRelay string
 	// sent holds the loads of the own reports, which withoutOwn subtracts from sums.
 	sent sentLoads
+	// idleForwardedAt is when a digest of another region was last forwarded to the idle
+	// entry VMs, by region.
+	idleForwardedAt map[string]time.Duration
 	// copying is true for tables that are being copied from a peer.
 	copying map[string]bool
 }
@@ -132,10 +136,28 @@
 	return &peers{
 		self: self, peerList: peerList{byName: map[string]*peer{}, byKey: map[uint32]*peer{}},
 		reports: map[string]receivedReport{}, ownElection: relay.New(self.Name), otherElections: map[string]*relay.Election{},
-		copying: map[string]bool{},
+		copying: map[string]bool{}, idleForwardedAt: map[string]time.Duration{},
 	}
 }
 
+// neighbour returns the address of a random live entry VM of the own zone. It returns
+// false if there is none.
+func (ps *peers) neighbour(now time.Duration) (netip.Addr, bool) {
+	ps.mu.Lock()
+	defer ps.mu.Unlock()
+	var addresses []netip.Addr
+	for _, other := range ps.byName {
+		if other.Zone == ps.self.Zone && other.lastSeen > 0 && now-other.lastSeen < peerAliveTimeout {
+			addresses = append(addresses, other.Reports.Addr())
+		}
+	}
+	if len(addresses) == 0 {
+		return netip.Addr{}, false
+	}
+
+	return addresses[rand.IntN(len(addresses))], true //nolint:gosec // Spreads the requests for copies.
+}
+
 // updatePeers applies the store's list of entry VMs.
 func (p *Process) updatePeers(entryVMs []EntryVM) {
 	now := p.clock.Now()
--- a/internal/run/direct/relay_test.go
+++ b/internal/run/direct/relay_test.go
@@ -1,9 +1,11 @@
 package direct_test
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -99,3 +101,52 @@
 
 	return elected
 }
+
+// Guards against entry VMs of a large region that, without callers, lose sight of the
+// others, and against one that, when callers come, does not learn the requests in flight
+// of the others.
+func TestIdleEntryVMsOfALargeRegion(t *testing.T) {
+	t.Parallel()
+	release, started := make(chan struct{}), make(chan struct{}, 2)
+	s := newServer(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/read/slow" {
+			started <- struct{}{}
+			<-release
+		}
+		ok(w, r)
+	})
+	defer close(release)
+	d := newDeployment(s.listed("server", "z1"))
+	var all []*runningEntryVM
+	for i := range 18 {
+		all = append(all, startEntryVM(t, d, fmt.Sprintf("127.0.2.%d", i+1), time.Second))
+	}
+	waitUntilReady(t, all...)
+	relay := relayOf(t, all)
+	others := slices.DeleteFunc(slices.Clone(all), func(e *runningEntryVM) bool { return e == relay })
+	idle, busy := others[0], others[1]
+	conn, err := net.Dial("tcp", busy.address)
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	_, err = io.WriteString(conn, "GET /read/slow HTTP/1.1\r\nHost: a.example\r\nRequest-Id: slow\r\n\r\n")
+	require.NoError(t, err)
+	<-started
+	// Longer than it takes to become idle, and to be taken for stopped without reports.
+	for range 40 {
+		time.Sleep(100 * time.Millisecond)
+		require.Len(t, idle.Lookup("z1", "r").Addresses, len(all))
+	}
+	before := idle.logs.Len()
+	require.Eventually(t, func() bool {
+		resp, _ := sendRequest(t, idle.address, http.MethodGet, "/read/fast")
+		require.Equal(t, http.StatusOK, resp.StatusCode)
+		for _, line := range idle.logs.All()[before:] {
+			occupied, ok := line.ContextMap()["occupied"].(float64)
+			if line.Message == "request ended" && ok && occupied > 0 {
+				return true
+			}
+		}
+
+		return false
+	}, waitTimeout, 50*time.Millisecond, "the request in flight at another entry VM is not counted")
+}
--- a/internal/run/direct/reports.go
+++ b/internal/run/direct/reports.go
@@ -22,6 +22,17 @@
 	// otherRegionsEvery limits the digests to other regions: in a region of more than
 	// maxSmallRegion entry VMs, only one of otherRegionsEvery digests also goes there.
 	otherRegionsEvery = 3
+	// In a region of more than maxSmallRegion entry VMs, an idle one sends only one of
+	// idleReportsEvery reports. The relay sends it the counts of requests in flight only
+	// when it is no longer idle, the other sums in one of idleSummaryEvery digests and at
+	// most every idleForwardInterval for another region, and between them only the state of
+	// the tables, which also shows that the relay is running.
+	idleReportsEvery    = 3
+	idleSummaryEvery    = 5
+	idleForwardInterval = 700 * time.Millisecond
+	// idleAfter is the time without a request from a caller after which an entry VM is
+	// idle. Its next request ends that at once.
+	idleAfter = 2 * time.Second
 	// maxReportAge is the age from which digests no longer include a report.
 	maxReportAge = 800 * time.Millisecond
 	// maxSentLoads is the number of own reports whose loads are kept. A digest never lags
@@ -63,18 +74,26 @@
 // the relay of its region.
 func (p *Process) reportLoop(ctx context.Context) {
 	var lastReport time.Duration
-	digests := 0
+	reports, digests := 0, 0
 	for now := range p.clock.Subscribe(ctx, baseReportInterval) {
 		size := p.peers.regionSize()
 		if now-lastReport < minReportInterval(size) {
 			continue
 		}
 		lastReport = now
+		reports++
+		if size > maxSmallRegion && reports%idleReportsEvery != 0 && p.isIdle() && !p.isRelay() {
+			continue
+		}
 		if !p.sendReport() {
 			continue
 		}
 		digests++
-		p.sendDigest(size <= maxSmallRegion || digests%otherRegionsEvery == 0)
+		scopeForIdle := gossip.ScopeTables
+		if digests%idleSummaryEvery == 0 {
+			scopeForIdle = gossip.ScopeSummary
+		}
+		p.sendDigest(size <= maxSmallRegion || digests%otherRegionsEvery == 0, scopeForIdle)
 	}
 }
 
@@ -92,10 +111,33 @@
 // reportNow reports a change to the other entry VMs without waiting for the interval.
 func (p *Process) reportNow() {
 	if p.sendReport() {
-		p.sendDigest(true)
+		p.sendDigest(true, gossip.ScopeTables)
 	}
 }
 
+// isIdle reports whether no caller has sent a request for idleAfter.
+func (p *Process) isIdle() bool {
+	return p.clock.Now()-time.Duration(p.lastRequestAt.Load()) > idleAfter
+}
+
+// noteRequest records a request of a caller. If the entry VM was idle, it reports at once
+// that it is not any more, so that it soon learns the requests in flight of the others.
+func (p *Process) noteRequest() {
+	wasIdle := p.isIdle()
+	p.lastRequestAt.Store(int64(p.clock.Now()))
+	if wasIdle {
+		p.reportNow()
+	}
+}
+
+// isRelay reports whether this entry VM was the relay of its region at its last report.
+func (p *Process) isRelay() bool {
+	p.peers.mu.Lock()
+	defer p.peers.mu.Unlock()
+
+	return p.peers.currentRelay == p.self.Name
+}
+
 // sendReport sends this entry VM's report to the relay of the region and the relay's
 // stand-in. It returns whether this entry VM is the relay.
 func (p *Process) sendReport() bool {
@@ -103,7 +145,7 @@
 	p.mu.Lock()
 	load := p.state.Report()
 	p.mu.Unlock()
-	r := gossip.Report{Name: p.self.Name, Ready: p.Ready(), Busy: p.busy.Load(), Tables: p.ownTables(), Load: loadOf(load)}
+	r := gossip.Report{Name: p.self.Name, Ready: p.Ready(), Busy: p.busy.Load(), Idle: p.isIdle(), Tables: p.ownTables(), Load: loadOf(load)}
 	p.peers.mu.Lock()
 	relayName, standIn := p.peers.ownElection.RelayAndStandIn(now, p.peers.relayOrders[p.self.Region])
 	relayChanged := relayName != p.peers.currentRelay
@@ -144,21 +186,30 @@
 }
 
 // sendDigest sums the reports of the region in a digest, and passes the sum without the
-// own report to the reducer. It sends the digest to the other entry VMs of the region.
-// If toOtherRegions is true, it also sends the digest to the relays of the other
-// regions and their stand-ins.
-func (p *Process) sendDigest(toOtherRegions bool) {
+// own report to the reducer. It sends the digest to the other entry VMs of the region,
+// with scopeForIdle to the idle ones. If toOtherRegions is true, it also sends the digest
+// to the relays of the other regions and their stand-ins.
+func (p *Process) sendDigest(toOtherRegions bool, scopeForIdle gossip.Scope) {
 	now := p.clock.Now()
 	p.peers.mu.Lock()
 	d := p.peers.digest(now)
 	others := p.peers.withoutOwn(reportOf(d.Region, d.Load), d.Members)
-	to := p.peers.sameRegion()
+	to, idle := p.peers.sameRegion()
 	if toOtherRegions {
 		to = append(to, p.peers.otherRegionRelays(now)...)
 	}
 	p.peers.mu.Unlock()
 	p.apply(steer.PeerReported{At: steer.At(now), Peer: d.Region, Report: others})
 	p.send(gossip.Message{Digest: d}, to)
+	p.sendScoped(*d, scopeForIdle, idle)
+}
+
+// sendScoped sends a part of a digest to entry VMs.
+func (p *Process) sendScoped(d gossip.Digest, scope gossip.Scope, to []netip.AddrPort) {
+	if len(to) > 0 {
+		scoped := d.WithScope(scope)
+		p.send(gossip.Message{Digest: &scoped}, to)
+	}
 }
 
 // send sends a message to entry VMs. A lost message is not repeated, because the next
@@ -177,17 +228,24 @@
 	return len(ps.relayOrders[ps.self.Region])
 }
 
-// sameRegion returns the report addresses of the other entry VMs of the own region.
-// Callers hold ps.mu.
-func (ps *peers) sameRegion() []netip.AddrPort {
-	var to []netip.AddrPort
-	for _, other := range ps.byName {
-		if other.Region == ps.self.Region {
-			to = append(to, other.Reports)
+// sameRegion returns the report addresses of the other entry VMs of the own region,
+// those of idle ones apart. In a region of more than maxSmallRegion entry VMs, an entry VM
+// counts as idle if its last report says so, or if there is no report of it. Callers hold
+// ps.mu.
+func (ps *peers) sameRegion() (active, idle []netip.AddrPort) {
+	large := len(ps.relayOrders[ps.self.Region]) > maxSmallRegion
+	for name, other := range ps.byName {
+		if other.Region != ps.self.Region {
+			continue
+		}
+		if report, ok := ps.reports[name]; large && (!ok || report.Idle) {
+			idle = append(idle, other.Reports)
+		} else {
+			active = append(active, other.Reports)
 		}
 	}
 
-	return to
+	return active, idle
 }
 
 // otherRegionRelays returns the report addresses of the relays of the other regions and
@@ -322,17 +380,23 @@
 	if sameRegion {
 		load = p.peers.withoutOwn(load, d.Members)
 	}
-	var forwardTo []netip.AddrPort
+	var forwardTo, forwardIdle []netip.AddrPort
 	if !sameRegion && fromSender && p.peers.currentRelay == p.self.Name {
-		forwardTo = p.peers.sameRegion()
+		forwardTo, forwardIdle = p.peers.sameRegion()
+		if now-p.peers.idleForwardedAt[d.Region] < idleForwardInterval {
+			forwardIdle = nil
+		} else {
+			p.peers.idleForwardedAt[d.Region] = now
+		}
 	}
 	p.peers.mu.Unlock()
-	if accepted {
+	if accepted && d.Scope != gossip.ScopeTables {
 		p.apply(steer.PeerReported{At: steer.At(now), Peer: d.Region, Report: load})
 	}
 	if len(forwardTo) > 0 {
 		p.send(gossip.Message{Digest: &d}, forwardTo)
 	}
+	p.sendScoped(d, gossip.ScopeSummary, forwardIdle)
 	if fromSender {
 		p.copyNewerTables(d.Tables, from.Addr())
 	} else {
--- a/internal/run/direct/serve.go
+++ b/internal/run/direct/serve.go
@@ -66,6 +66,7 @@
 
 		return
 	}
+	p.noteRequest()
 	now := p.clock.Now()
 	patience := exchange.Patience
 	if patience <= 0 {
--- a/internal/run/direct/tables.go
+++ b/internal/run/direct/tables.go
@@ -56,11 +56,14 @@
 }
 
 // encodeChanges returns what changed in the named table after sinceRevision, encoded as
-// CBOR for another entry VM. It returns false when there is no copy of the table or the
-// encoding fails.
+// CBOR for another entry VM. It returns false when there is no newer copy of the table or
+// the encoding fails.
 func (p *Process) encodeChanges(name string, sinceRevision uint64) ([]byte, bool) {
 	m, ok := p.mirrors[name]
-	if !ok || !m.Loaded() {
+	if !ok {
+		return nil, false
+	}
+	if revision, loaded := m.Revision(); !loaded || revision <= sinceRevision {
 		return nil, false
 	}
 	data, err := cbor.Marshal(m.ChangesSince(sinceRevision))
--- a/internal/run/mirror/mirror.go
+++ b/internal/run/mirror/mirror.go
@@ -60,8 +60,18 @@
 	// may be waiting for it. The delay covers the report of the other entry VM's read
 	// and the copying of the table inside a region.
 	firstReadRankDelay = 80 * time.Millisecond
-	// maxReadRank is the rank above which reads are not delayed further.
-	maxReadRank = 4
+	// maxReadRank is the rank above which a rank adds only highRankDelay or
+	// firstHighRankDelay, up to maxHighRankDelay or maxFirstHighRankDelay. If many entry VMs
+	// lack a copy, they then read the table one after the other, and those whose turn
+	// has not come can copy it.
+	maxReadRank           = 4
+	highRankDelay         = 10 * time.Millisecond
+	maxHighRankDelay      = time.Second
+	firstHighRankDelay    = 20 * time.Millisecond
+	maxFirstHighRankDelay = 1500 * time.Millisecond
+	// copyGraceFactor is how much longer, in units of MaxAge, a copy may grow old while
+	// another entry VM is known to have read a newer one, which should arrive by then.
+	copyGraceFactor = 2
 	// retryRankDelay and maxRetryRank spread the retries of entry VMs whose reads fail, so
 	// that not all of them call a store that does not answer.
 	retryRankDelay = 250 * time.Millisecond
@@ -140,6 +150,8 @@
 	// table. ownReadAt is the start of this entry VM's own last read.
 	freshAt   time.Duration
 	ownReadAt time.Duration
+	// newerReadAt is when another entry VM last read a newer table than the copy.
+	newerReadAt time.Duration
 	// rereadAt is when DeletionGrace ends for items that were kept, or 0 if none were
 	// kept. From then on this entry VM must read the table itself, because the deltas
 	// of other entry VMs do not contain the deletions again.
@@ -225,10 +237,20 @@
 		firstDueAt := m.firstDueAt.Or(now)
 		m.firstDueAt = option.Some(firstDueAt)
 
-		return now >= firstDueAt+time.Duration(min(readRank, maxReadRank))*firstReadRankDelay
+		return now >= firstDueAt+rankDelay(readRank, firstReadRankDelay, firstHighRankDelay, maxFirstHighRankDelay)
 	}
+	freshAt := max(m.freshAt, min(m.newerReadAt, m.freshAt+copyGraceFactor*m.options.MaxAge))
 
-	return now >= m.freshAt+m.options.MaxAge+time.Duration(min(readRank, maxReadRank))*readRankDelay
+	return now >= freshAt+m.options.MaxAge+rankDelay(readRank, readRankDelay, highRankDelay, maxHighRankDelay)
+}
+
+// rankDelay returns how much later an entry VM reads a table than the first in rank. Each
+// rank up to maxReadRank adds step, each further rank highStep, and all further ranks
+// together at most maxHigh.
+func rankDelay(rank int, step, highStep, maxHigh time.Duration) time.Duration {
+	high := time.Duration(max(rank-maxReadRank, 0)) * highStep
+
+	return time.Duration(min(rank, maxReadRank))*step + min(high, maxHigh)
 }
 
 // Read reads the table from the store and reports whether the copy changed. It returns
@@ -367,10 +389,15 @@
 func (m *Mirror) ObserveRevision(revision uint64, readAge option.Option[time.Duration]) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	age, read := readAge.Get()
 	if !m.loaded || revision > m.snapshot.Revision {
+		if read {
+			m.newerReadAt = max(m.newerReadAt, m.clock.Now()-age)
+		}
+
 		return true
 	}
-	if age, ok := readAge.Get(); ok && revision == m.snapshot.Revision {
+	if read && revision == m.snapshot.Revision {
 		m.freshAt = max(m.freshAt, m.clock.Now()-age)
 	}
 
--- a/internal/run/mirror/mirror_test.go
+++ b/internal/run/mirror/mirror_test.go
@@ -247,3 +247,43 @@
 	require.True(t, a.mirror.Due(0, 0))
 	require.True(t, b.mirror.Due(0, 0))
 }
+
+// Guards against a herd: many entry VMs whose copies are late, or that have none yet, must
+// not all read the store at the same time. The others know that the first has read the
+// table, and their copies arrive late.
+func TestLateCopiesDoNotMakeAllReadTheStore(t *testing.T) {
+	t.Parallel()
+	const entryVMs, maxAge, step = 295, 500 * time.Millisecond, 100 * time.Millisecond
+	for _, loaded := range []bool{true, false} {
+		t.Run(fmt.Sprint("loaded ", loaded), func(t *testing.T) {
+			t.Parallel()
+			s := &store{items: map[string]mirror.Item{}}
+			s.put("p/1", "old")
+			var fixtures []*fixture
+			for range entryVMs {
+				f := newFixture(s, 0)
+				if loaded {
+					require.True(t, f.mirror.Read(t.Context()))
+				}
+				fixtures = append(fixtures, f)
+			}
+			for at := time.Duration(0); at < 2*time.Second; at += step {
+				due := 0
+				for rank, f := range fixtures {
+					if f.mirror.Due(rank, rank) {
+						due++
+						if rank == 0 {
+							s.put("p/1", at.String())
+							f.mirror.Read(t.Context())
+						}
+					}
+					if rank > 0 {
+						f.mirror.ObserveRevision(s.revision, option.Some(time.Duration(0)))
+					}
+					f.clock.Advance(step)
+				}
+				require.LessOrEqual(t, due, entryVMs/4, "entry VMs that read the store %s after the start", at)
+			}
+		})
+	}
+}
--- a/internal/steer/direct/report.go
+++ b/internal/steer/direct/report.go
@@ -54,12 +54,16 @@
 func (r Report) Without(ownReport Report) Report {
 	r.InFlight, r.Demand = maps.Clone(r.InFlight), maps.Clone(r.Demand)
 	for key, n := range ownReport.InFlight {
-		if r.InFlight[key] -= n; r.InFlight[key] <= 0 {
+		if sum, ok := r.InFlight[key]; ok && sum > n {
+			r.InFlight[key] = sum - n
+		} else {
 			delete(r.InFlight, key)
 		}
 	}
 	for service, slots := range ownReport.Demand {
-		r.Demand[service] = max(r.Demand[service]-slots, 0)
+		if sum, ok := r.Demand[service]; ok {
+			r.Demand[service] = max(sum-slots, 0)
+		}
 	}
 
 	return r
--- a/internal/wire/gossip/gossip.go
+++ b/internal/wire/gossip/gossip.go
@@ -56,10 +56,10 @@
 type Load struct {
 	// InFlight is, by server key, how much of the server's slots the requests in flight
 	// take, in eighths of a slot.
-	InFlight map[uint32]int `cbor:"1,keyasint"`
+	InFlight map[uint32]int `cbor:"1,keyasint,omitempty"`
 	// Demand is, by service, the number of slots that callers' requests need. Requests that
 	// are sent again after a refusal are left out.
-	Demand map[string]float64 `cbor:"2,keyasint"`
+	Demand map[string]float64 `cbor:"2,keyasint,omitempty"`
 	// Suspects holds, by the fingerprint of a request's content, how many servers in a row
 	// broke the connection while they had a request with this content.
 	Suspects map[uint64]int `cbor:"3,keyasint,omitempty"`
@@ -84,6 +84,8 @@
 	Load   Load                  `cbor:"5,keyasint"`
 	// Busy is true while the sender's processor is overloaded.
 	Busy bool `cbor:"6,keyasint,omitempty"`
+	// Idle is true when no caller has sent the sender a request recently.
+	Idle bool `cbor:"7,keyasint,omitempty"`
 }
 
 // Digest is the summary of a region. The relay of the region sends it to the region's entry
@@ -95,7 +97,36 @@
 	Region  string                `cbor:"2,keyasint"`
 	Tables  map[string]TableState `cbor:"3,keyasint"`
 	Load    Load                  `cbor:"4,keyasint"`
-	Members []Member              `cbor:"5,keyasint"`
+	Members []Member              `cbor:"5,keyasint,omitempty"`
+	// Scope says which of the fields Load and Members are left out.
+	Scope Scope `cbor:"6,keyasint,omitempty"`
+}
+
+// Scope is how much of a digest is sent. Entry VMs without callers need less.
+type Scope uint8
+
+// Scopes of a digest.
+const (
+	// ScopeWhole: all fields.
+	ScopeWhole Scope = iota
+	// ScopeSummary: all but Load.InFlight.
+	ScopeSummary
+	// ScopeTables: neither Load nor Members.
+	ScopeTables
+)
+
+// WithScope returns the digest without the fields that the scope leaves out.
+func (d Digest) WithScope(scope Scope) Digest {
+	d.Scope = scope
+	switch scope {
+	case ScopeWhole:
+	case ScopeSummary:
+		d.Load.InFlight = nil
+	case ScopeTables:
+		d.Load, d.Members = Load{}, nil
+	}
+
+	return d
 }
 
 // Member is an entry VM whose report a digest includes.
