--- a/internal/steer/direct/direct.go
+++ b/internal/steer/direct/direct.go
@@ -116,6 +116,9 @@
 	// divisionPoint of requests without an object and of requests of routes that are not
 	// sticky.
 	lastPoint float64
+	// splitPoints holds the next point for picking the service of a route with several
+	// services, by route.
+	splitPoints map[string]float64
 
 	effects []Effect
 }
@@ -142,6 +145,7 @@
 		pressures:      map[string]*pressure{},
 		suspects:       suspects{},
 		unlisted:       map[Incarnation]*server{},
+		splitPoints:    map[string]float64{},
 
 		leavingElsewhere: map[Incarnation]time.Duration{},
 	}}
@@ -199,7 +203,7 @@
 func (s *state) requestArrived(e RequestArrived) {
 	r := &request{
 		id: e.ID, route: e.Route, arrivedAt: s.now, deadline: e.Deadline - responseMargin, fingerprint: e.Fingerprint,
-		service: e.Route.PickService(s.random.Float64()),
+		service: e.Route.PickService(s.nextSplitPoint(e.Route)),
 	}
 	if e.Route.Timeout > 0 {
 		r.deadline = min(r.deadline, s.now+e.Route.Timeout)
@@ -211,8 +215,7 @@
 		r.targetDeadline -= sinceFirstRequest
 		firstRequest = float64(sinceFirstRequest) <= firstRequestPeriodShare*float64(e.Route.Target)
 	}
-	s.lastPoint += goldenRatioFraction
-	s.lastPoint -= float64(int(s.lastPoint))
+	s.lastPoint = nextPoint(s.lastPoint)
 	r.divisionPoint = s.lastPoint
 	r.objectHash = s.random.Uint64()
 	if e.Route.Sticky && e.Object != "" {
@@ -232,6 +235,31 @@
 	s.admit(r)
 }
 
+// nextPoint returns the point in [0, 1) after another one in a sequence whose points are
+// spread evenly in any stretch of it.
+func nextPoint(point float64) float64 {
+	point += goldenRatioFraction
+
+	return point - math.Floor(point)
+}
+
+// nextSplitPoint returns the point by which the service of a request is picked. Points
+// that are spread evenly keep the share of each service near its weight also among few
+// requests, where independent random points would not.
+func (s *state) nextSplitPoint(route intent.Route) float64 {
+	if len(route.ServiceWeights) < 2 {
+		return 0
+	}
+	point, ok := s.splitPoints[route.Name]
+	if !ok {
+		// Entry VMs start at different points, so that their rounding errors do not add up.
+		point = s.random.Float64()
+	}
+	s.splitPoints[route.Name] = nextPoint(point)
+
+	return point
+}
+
 // admit sends a request, queues it or refuses it. A request that no server takes now is
 // queued only if it can still meet its target.
 func (s *state) admit(r *request) {
