Let copies cross to a zone once and keep idle entry VMs sure of fresh tables

Each entry VM copied each change of a table from the relay, mostly from another zone: 0.130 GB between zones up to second 2, while the servers registered.

Change: the state of the tables of other regions is forwarded at once, the rest every 0.7 s. The first entry VM of a zone copies from the one that announced the table, the others from it or from neighbours, and from the announcing one only at every sixth attempt.

--- a/internal/run/direct/copy.go
+++ b/internal/run/direct/copy.go
@@ -23,6 +23,10 @@
 	maxCopyAttempts = 12
 )
 
+// maxZoneAttempts is the number of requests for a copy of which the last one goes to the
+// entry VM that announced the table, in case that no neighbour receives it.
+const maxZoneAttempts = 6
+
 // copiesPerStrength is how many copies of tables an entry VM may send at once, for each
 // unit of its strength.
 const copiesPerStrength = 0.75
@@ -73,21 +77,32 @@
 	}
 }
 
-// copyTable copies the changes of a table from the entry VM at address. While that one is
-// busy, every other request goes to another entry VM of the zone, which may have received
-// a copy meanwhile. So a copy spreads as a tree.
+// copySource returns the entry VM to ask for a copy that the entry VM at address has, after
+// a number of attempts.
+func (p *Process) copySource(address netip.Addr, attempts int) netip.Addr {
+	first, neighbour := p.peers.copySources(p.clock.Now(), address)
+	switch {
+	case attempts%maxZoneAttempts == maxZoneAttempts-1:
+		return address
+	case attempts%2 == 1:
+		return neighbour
+	}
+
+	return first
+}
+
+// copyTable copies the changes of a table that the entry VM at address has. The first
+// entry VM of each zone asks that one; the others ask the first of their zone or another
+// neighbour, which may have received a copy meanwhile. So a copy crosses to a zone once
+// and spreads there as a tree.
 func (p *Process) copyTable(table string, address netip.Addr) {
 	m := p.mirrors[table]
 	base, _ := m.Revision()
 	var delta mirror.Delta
-	err := p.bus.Fetch(p.ctx, address, table, base, &delta)
-	for attempts := 1; errors.Is(err, gossip.ErrBusy) && attempts < maxCopyAttempts && p.ctx.Err() == nil; attempts++ {
+	err := p.bus.Fetch(p.ctx, p.copySource(address, 0), table, base, &delta)
+	for attempts := 1; err != nil && attempts < maxCopyAttempts && p.ctx.Err() == nil; attempts++ {
 		time.Sleep(time.Duration(2 * rand.Float64() * float64(copyRetryPause))) //nolint:gosec // Spreads retries.
-		source := address
-		if neighbour, ok := p.peers.neighbour(p.clock.Now()); ok && attempts%2 == 1 {
-			source = neighbour
-		}
-		err = p.bus.Fetch(p.ctx, source, table, base, &delta)
+		err = p.bus.Fetch(p.ctx, p.copySource(address, attempts), table, base, &delta)
 	}
 	switch {
 	case errors.Is(err, gossip.ErrBusy):
--- a/internal/run/direct/peers.go
+++ b/internal/run/direct/peers.go
@@ -140,22 +140,39 @@
 	}
 }
 
-// neighbour returns the address of a random live entry VM of the own zone. It returns
-// false if there is none.
-func (ps *peers) neighbour(now time.Duration) (netip.Addr, bool) {
+// copySources returns the entry VMs to ask for a copy that the entry VM at address has:
+// the first one of the own zone, in the order in which relays are elected, and a random
+// one of the zone. In the zone of the entry VM at address, and for the first one itself,
+// that address takes the place of the first.
+func (ps *peers) copySources(now time.Duration, address netip.Addr) (first, neighbour netip.Addr) {
 	ps.mu.Lock()
 	defer ps.mu.Unlock()
-	var addresses []netip.Addr
+	candidates := []relay.Candidate{relayCandidate(ps.self)}
 	for _, other := range ps.byName {
-		if other.Zone == ps.self.Zone && other.lastSeen > 0 && now-other.lastSeen < peerAliveTimeout {
-			addresses = append(addresses, other.Reports.Addr())
+		if other.Zone != ps.self.Zone || other.lastSeen == 0 || now-other.lastSeen >= peerAliveTimeout {
+			continue
+		}
+		if other.Reports.Addr() == address.Unmap() {
+			// The announcing entry VM is in the zone.
+			candidates = candidates[:0]
+
+			break
 		}
+		candidates = append(candidates, relayCandidate(other.EntryVM))
+	}
+	if len(candidates) < 2 {
+		return address, address
+	}
+	relay.SortCandidates(candidates)
+	neighbour = address
+	if other, ok := ps.byName[candidates[rand.IntN(len(candidates))].Name]; ok { //nolint:gosec // Spreads the requests for copies.
+		neighbour = other.Reports.Addr()
 	}
-	if len(addresses) == 0 {
-		return netip.Addr{}, false
+	if other, ok := ps.byName[candidates[0].Name]; ok {
+		return other.Reports.Addr(), neighbour
 	}
 
-	return addresses[rand.IntN(len(addresses))], true //nolint:gosec // Spreads the requests for copies.
+	return address, address
 }
 
 // updatePeers applies the store's list of entry VMs.
--- a/internal/run/direct/reports.go
+++ b/internal/run/direct/reports.go
@@ -381,12 +381,12 @@
 		load = p.peers.withoutOwn(load, d.Members)
 	}
 	var forwardTo, forwardIdle []netip.AddrPort
+	scopeForIdle := gossip.ScopeTables
 	if !sameRegion && fromSender && p.peers.currentRelay == p.self.Name {
 		forwardTo, forwardIdle = p.peers.sameRegion()
-		if now-p.peers.idleForwardedAt[d.Region] < idleForwardInterval {
-			forwardIdle = nil
-		} else {
+		if now-p.peers.idleForwardedAt[d.Region] >= idleForwardInterval {
 			p.peers.idleForwardedAt[d.Region] = now
+			scopeForIdle = gossip.ScopeSummary
 		}
 	}
 	p.peers.mu.Unlock()
@@ -396,7 +396,7 @@
 	if len(forwardTo) > 0 {
 		p.send(gossip.Message{Digest: &d}, forwardTo)
 	}
-	p.sendScoped(d, gossip.ScopeSummary, forwardIdle)
+	p.sendScoped(d, scopeForIdle, forwardIdle)
 	if fromSender {
 		p.copyNewerTables(d.Tables, from.Addr())
 	} else {
