--- a/internal/steer/direct/notice.go
+++ b/internal/steer/direct/notice.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"slices"
 	"strconv"
 	"time"
 
@@ -95,24 +94,6 @@
 	}
 }
 
-// leavingToReport returns the leaving servers to report, in a fixed order.
-func (s *state) leavingToReport() []Incarnation {
-	var out []Incarnation
-	for _, srv := range s.servers {
-		if s.now < srv.reportLeavingUntil {
-			out = append(out, srv.incarnation)
-		}
-	}
-	for _, srv := range s.unlisted {
-		if s.now < srv.reportLeavingUntil {
-			out = append(out, srv.incarnation)
-		}
-	}
-	slices.Sort(out)
-
-	return out
-}
-
 // removeExpiredNotices forgets servers that were not listed for unlistedTTL, and reports
 // about servers that were not repeated for as long. If there are more than maxUnlisted
 // servers, it forgets all that have no request in flight.
--- a/internal/steer/direct/report.go
+++ b/internal/steer/direct/report.go
@@ -8,15 +8,24 @@
 // Report returns what this entry VM tells the others.
 func (s State) Report() Report {
 	r := Report{InFlight: map[uint32]int{}, Suspects: s.suspects.lossesToReport(), Demand: map[string]float64{}, Region: s.settings.Region}
-	for _, srv := range s.servers {
-		if srv.ownPortions > 0 {
-			r.InFlight[srv.key] = srv.ownPortions
+	for _, servers := range s.byService {
+		for _, srv := range servers {
+			if srv.ownPortions > 0 {
+				r.InFlight[srv.key] = srv.ownPortions
+			}
+			if s.now < srv.reportLostUntil {
+				r.Lost = append(r.Lost, srv.key)
+			}
+			if s.now < srv.reportLeavingUntil {
+				r.Leaving = append(r.Leaving, srv.incarnation)
+			}
 		}
-		if s.now < srv.reportLostUntil {
-			r.Lost = append(r.Lost, srv.key)
+	}
+	for _, srv := range s.unlisted {
+		if s.now < srv.reportLeavingUntil {
+			r.Leaving = append(r.Leaving, srv.incarnation)
 		}
 	}
-	r.Leaving = s.leavingToReport()
 	for service, d := range s.demands {
 		r.Demand[service] = d.slots.Value()
 	}
--- a/internal/steer/direct/tick.go
+++ b/internal/steer/direct/tick.go
@@ -192,12 +192,14 @@
 	if s.intent == nil {
 		return
 	}
-	for _, srv := range s.servers {
-		if !srv.needsProbe || srv.Leaving || srv.probing || s.now < max(srv.avoidUntil, srv.pausedUntil, srv.nextProbeAt) {
-			continue
+	for service, servers := range s.byService {
+		for _, srv := range servers {
+			if !srv.needsProbe || srv.Leaving || srv.probing || s.now < max(srv.avoidUntil, srv.pausedUntil, srv.nextProbeAt) {
+				continue
+			}
+			srv.probing, srv.nextProbeAt = true, s.now+probeInterval
+			s.emit(Probe{Server: srv.Server, Path: s.intent.Services[service].HealthPath})
 		}
-		srv.probing, srv.nextProbeAt = true, s.now+probeInterval
-		s.emit(Probe{Server: srv.Server, Path: s.intent.Services[srv.Service].HealthPath})
 	}
 }
 
