--- a/internal/run/direct/copy.go
+++ b/internal/run/direct/copy.go
@@ -99,16 +99,25 @@
 	m := p.mirrors[table]
 	base, _ := m.Revision()
 	var delta mirror.Delta
-	err := p.bus.Fetch(p.ctx, p.copySource(address, 0), table, base, &delta)
+	source := p.copySource(address, 0)
+	err := p.bus.Fetch(p.ctx, source, table, base, &delta)
 	for attempts := 1; err != nil && attempts < maxCopyAttempts && p.ctx.Err() == nil; attempts++ {
-		time.Sleep(time.Duration(2 * rand.Float64() * float64(copyRetryPause))) //nolint:gosec // Spreads retries.
-		err = p.bus.Fetch(p.ctx, p.copySource(address, attempts), table, base, &delta)
+		if errors.Is(err, gossip.ErrBusy) {
+			time.Sleep(time.Duration(2 * rand.Float64() * float64(copyRetryPause))) //nolint:gosec // Spreads retries.
+			source = p.copySource(address, attempts)
+		} else if source == address {
+			// The next digest or report announces the table again.
+			break
+		} else {
+			source = address
+		}
+		err = p.bus.Fetch(p.ctx, source, table, base, &delta)
 	}
 	switch {
 	case errors.Is(err, gossip.ErrBusy):
-		p.log.Debug("an entry VM sends other copies", zap.String("table", table), zap.Stringer("from", address))
+		p.log.Debug("an entry VM sends other copies", zap.String("table", table), zap.Stringer("from", source))
 	case err != nil:
-		p.log.Warn("table of an entry VM was not read", zap.String("table", table), zap.Stringer("from", address), zap.Error(err))
+		p.log.Warn("table of an entry VM was not read", zap.String("table", table), zap.Stringer("from", source), zap.Error(err))
 	case m.ApplyDelta(base, delta):
 		p.reportNow()
 	}
