--- a/internal/run/direct/copy.go
+++ b/internal/run/direct/copy.go
@@ -102,14 +102,15 @@
 	source := p.copySource(address, 0)
 	err := p.bus.Fetch(p.ctx, source, table, base, &delta)
 	for attempts := 1; err != nil && attempts < maxCopyAttempts && p.ctx.Err() == nil; attempts++ {
-		if errors.Is(err, gossip.ErrBusy) {
-			time.Sleep(time.Duration(2 * rand.Float64() * float64(copyRetryPause))) //nolint:gosec // Spreads retries.
-			source = p.copySource(address, attempts)
-		} else if source == address {
+		busy := errors.Is(err, gossip.ErrBusy)
+		if !busy && source == address {
 			// The next digest or report announces the table again.
 			break
-		} else {
-			source = address
+		}
+		source = address
+		if busy {
+			time.Sleep(time.Duration(2 * rand.Float64() * float64(copyRetryPause))) //nolint:gosec // Spreads retries.
+			source = p.copySource(address, attempts)
 		}
 		err = p.bus.Fetch(p.ctx, source, table, base, &delta)
 	}
