Measure whether entry VMs should tell each other of pauses

Cause: the design left open whether the other entry VMs should be told when a server asks one of them for a pause.

--- a/internal/steer/direct/simulation_test.go
+++ b/internal/steer/direct/simulation_test.go
@@ -64,13 +64,16 @@
 	MeanNoisePeriod time.Duration `yaml:"noise-every"`
 	// ShedShare is the share of the requests that servers refuse although they have room.
 	ShedShare float64 `yaml:"shed-share"`
+	// Pause is how long servers that refuse a request want no more from that entry VM; 0
+	// means that they do not say.
+	Pause time.Duration `yaml:"pause"`
 	// LostShare is the share of the servers, rounded up to tenths, that are removed at
 	// LostAt. No server is removed if LostAt is 0.
 	LostShare float64       `yaml:"lost-share"`
 	LostAt    time.Duration `yaml:"lost-at"`
-	// Former names what an earlier policy lacked: withoutObjects, withoutPatience, or ""
-	// for no comparison. The current policy must serve at least MinGain times as many
-	// callers within the target as the earlier policy.
+	// Former names another policy: withoutObjects, withoutPatience, toldOfPauses, or "" for
+	// no comparison. The current policy must serve at least MinGain times as many callers
+	// within the target as the other policy.
 	Former  string  `yaml:"former"`
 	MinGain float64 `yaml:"gain"`
 	// MinServedShare is the share of callers that must be served within the target.
@@ -117,6 +120,9 @@
 	withoutObjects = "objects"
 	// withoutPatience is a policy that does not recognise callers that come back.
 	withoutPatience = "patience"
+	// toldOfPauses is a policy in which an entry VM tells the others at which server it
+	// pauses, and they pause too.
+	toldOfPauses = "told"
 )
 
 // scheduledCall is a function to call at a simulated time. Calls at the same time are
@@ -389,6 +395,9 @@
 	b := sim.backends[f.Server.ID]
 	if sim.random.Float64() < sim.ShedShare {
 		sim.endAttempt(e, f, rtt/2, direct.NotRun, false)
+		if sim.formerPolicy == toldOfPauses {
+			sim.tellOfPause(e, f.Server.ID)
+		}
 
 		return
 	}
@@ -417,6 +426,18 @@
 	b.waiting = append(b.waiting, start)
 }
 
+// tellOfPause lets the other entry VMs pause at a server, as if it had asked them to.
+func (sim *simulation) tellOfPause(e *entry, server string) {
+	const reportTime = 100 * time.Millisecond
+	for _, other := range sim.entries {
+		if other != e {
+			sim.after(reportTime, func() {
+				sim.apply(other, direct.ProbeEnded{At: direct.At(sim.now), Server: server, Healthy: true, PauseFor: option.Some(sim.Pause)})
+			})
+		}
+	}
+}
+
 // freeSlot gives a slot to the next waiting request.
 func (sim *simulation) freeSlot(b *backend) {
 	if len(b.waiting) == 0 {
@@ -456,8 +477,13 @@
 func (sim *simulation) endAttempt(e *entry, f direct.Send, networkTime time.Duration, o direct.Outcome, timedOut bool) {
 	sim.after(networkTime, func() {
 		b := sim.backends[f.Server.ID]
+		var pause option.Option[time.Duration]
+		if o == direct.NotRun && sim.Pause > 0 {
+			pause = option.Some(sim.Pause)
+		}
 		sim.apply(e, direct.AttemptEnded{
-			At: direct.At(sim.now), ID: f.ID, Outcome: o, Status: 200, TimedOut: timedOut, DialTook: sim.roundTrip(e.region, b.region),
+			PauseFor: pause,
+			At:       direct.At(sim.now), ID: f.ID, Outcome: o, Status: 200, TimedOut: timedOut, DialTook: sim.roundTrip(e.region, b.region),
 			Load: option.Some(direct.Load{RunningRequests: b.running, WaitingRequests: len(b.waiting), Slowdown: b.slowdown}),
 		})
 	})
