--- a/review/build.sh
+++ b/review/build.sh
@@ -3,6 +3,7 @@
 # that the project's own checks of Go files do not take them in.
 set -eu
 cd "$(dirname "$0")"
+rm -rf target/harness-source
 mkdir -p target/harness-source
 cp harness/go.mod target/harness-source/go.mod
 for source in harness/*.go.txt; do
