Do not take the first read after a start for the end of an outage

Cause: a mirror began with storeDown = true, so its first successful read counted as the end of an outage and deleted entries were kept for DeletionGrace. A restarted entry VM is often the first reader of the table again, so the others copied the kept entries from it. The same flag made an entry VM that had copied the table and not read it count as cut off from the store.

Change: only a read that failed begins an outage.

TestRestartIsNoOutage and TestCopyWithoutReadIsNoFailure fail on the old mirror.go and pass now.

--- a/internal/run/mirror/mirror.go
+++ b/internal/run/mirror/mirror.go
@@ -155,17 +155,17 @@
 	// kept. From then on this entry VM must read the table itself, because the deltas
 	// of other entry VMs do not contain the deletions again.
 	rereadAt time.Duration
-	// storeDown is true before the first successful read and while reads fail.
-	// storeUpAt is when storeDown last became false.
+	// storeDown is true while reads fail. storeUpAt is when it last became false, or
+	// nothing if no read has failed yet: the first read after a start ends no outage.
 	storeDown bool
-	storeUpAt time.Duration
+	storeUpAt option.Option[time.Duration]
 }
 
 // New returns a mirror without a copy.
 func New(source Source, clock timer.TimeSource, log *zap.Logger, options Options) *Mirror {
 	return &Mirror{
 		source: source, clock: clock, log: log.With(zap.String("table", options.Prefix)), options: options,
-		snapshot: Snapshot{Items: map[string]Item{}}, tombstones: map[string]uint64{}, storeDown: true,
+		snapshot: Snapshot{Items: map[string]Item{}}, tombstones: map[string]uint64{},
 	}
 }
 
@@ -326,7 +326,7 @@
 	m.mu.Lock()
 	m.reading = false
 	if m.storeDown {
-		m.storeDown, m.storeUpAt = false, m.clock.Now()
+		m.storeDown, m.storeUpAt = false, option.Some(m.clock.Now())
 		m.log.Info("store answers", zap.Uint64("revision", revision), zap.Int("items", len(items)))
 	}
 	m.freshAt, m.ownReadAt = max(m.freshAt, start), start
@@ -354,14 +354,16 @@
 // items again instead. It reports whether items then differs from the copy. Callers
 // hold m.mu.
 func (m *Mirror) mergeDeletions(items map[string]Item, revision uint64) bool {
-	keep := m.options.DeletionGrace > 0 && m.clock.Now() < m.storeUpAt+m.options.DeletionGrace
+	storeUpAt, wasDown := m.storeUpAt.Get()
+	keepUntil := storeUpAt + m.options.DeletionGrace
+	keep := wasDown && m.clock.Now() < keepUntil
 	changed := false
 	for key, old := range m.snapshot.Items {
 		next, ok := items[key]
 		switch {
 		case !ok && keep:
 			items[key] = old
-			m.rereadAt = m.storeUpAt + m.options.DeletionGrace
+			m.rereadAt = keepUntil
 		case !ok:
 			m.addTombstone(key, revision)
 			changed = true
--- a/internal/run/mirror/mirror_test.go
+++ b/internal/run/mirror/mirror_test.go
@@ -219,6 +219,30 @@
 	require.Equal(t, []string{"t/1", "t/2"}, f.keys())
 }
 
+// Guards against servers that left and stay in use after an entry VM has restarted: its
+// first read must not count as the end of an outage of the store.
+func TestRestartIsNoOutage(t *testing.T) {
+	t.Parallel()
+	s := newStore(3)
+	other, restarted := newFixture(s, 0), newFixture(s, 2*time.Second)
+	other.mirror.Read(t.Context())
+	require.True(t, restarted.mirror.ApplyDelta(0, other.mirror.ChangesSince(0)))
+	s.remove("t/0")
+	require.True(t, restarted.mirror.Read(t.Context()))
+	require.Equal(t, []string{"t/1", "t/2"}, restarted.keys())
+}
+
+// Guards against an entry VM that counts as cut off from the store because it has copied
+// the table and has not read it yet.
+func TestCopyWithoutReadIsNoFailure(t *testing.T) {
+	t.Parallel()
+	s := newStore(1)
+	other, restarted := newFixture(s, 0), newFixture(s, 0)
+	other.mirror.Read(t.Context())
+	require.True(t, restarted.mirror.ApplyDelta(0, other.mirror.ChangesSince(0)))
+	require.False(t, restarted.mirror.Failing())
+}
+
 // Guards against entry VMs that consider their copies fresh because of each other's
 // reports, although none of them reads the store. The ages in reports leave out the
 // transit time of the reports.
