Drop entries kept after an outage when the grace ends, on one entry VM

Cause: kept entries were part of the copied table. When the grace ended, another read should have dropped them, but it did nothing if the store's revision had not moved since a change within the grace. Other entry VMs, which had copied the table at the same revision, never asked again.

Change: a mirror holds the table as the store has it, sends just that to others, and keeps missing entries beside it. DropExpired drops them at the end of the grace without a call of the store. Only an entry VM without a copy takes over what another keeps, so that a start right after an outage does not lose servers whose entries come back.

Evidence: TestKeptItemsGoWithoutChangeOfStore, TestKeptItemsStayOnOneEntryVM and TestStartAfterOutageTakesOverKeptItems fail on the old mirror.go with a DropExpired that does nothing. TestKeepsDeletedItemsAfterStoreOutage asked for a read of the store at the end of the grace; it now asks that the expired entry goes without one, and not before the grace has ended.

--- a/internal/run/direct/entryvm.go
+++ b/internal/run/direct/entryvm.go
@@ -288,9 +288,11 @@
 	}
 }
 
-// readDueTables starts to read the tables whose copies have become too old.
+// readDueTables starts to read the tables whose copies have become too old, and drops
+// items that were kept long enough.
 func (p *Process) readDueTables(ctx context.Context) {
 	for table, m := range p.mirrors {
+		m.DropExpired()
 		if !p.mayRead(table) || !m.Due(p.readRank(table)) {
 			continue
 		}
--- /dev/null
+++ b/internal/run/mirror/grace.go
@@ -0,0 +1,72 @@
+package mirror
+
+import (
+	"maps"
+
+	"github.com/greengagetally/greengagetally/internal/value/units"
+)
+
+// This file keeps items that an outage of the store has made expire. Their owners may
+// write them again once the store answers.
+//
+// Each entry VM keeps items by itself and sends the others the table as the store has it.
+// So an item that is kept without need is kept on one entry VM only, and goes after
+// DeletionGrace even if the table does not change any more.
+
+// keepMissing keeps the items of the last snapshot that the table no longer has, if an
+// outage ended less than DeletionGrace ago. Otherwise it goes on to keep those that are
+// kept already. Callers hold m.mu.
+func (m *Mirror) keepMissing() {
+	now := m.clock.Now()
+	candidates := m.kept
+	storeUpAt, wasDown := m.storeUpAt.Get()
+	if until := storeUpAt + m.options.DeletionGrace; wasDown && now < until {
+		candidates, m.keptUntil = m.snapshot.Items, until
+	}
+	m.kept = map[string]Item{}
+	for key, item := range candidates {
+		if _, ok := m.table.Items[key]; !ok && now < m.keptUntil {
+			m.kept[key] = item
+		}
+	}
+	m.mergeKept()
+}
+
+// keepReceived takes over the items that the sender of a delta keeps. Callers hold m.mu.
+func (m *Mirror) keepReceived(delta Delta) {
+	remaining := min(units.ClampMillis(float64(delta.KeptMillis)), m.options.DeletionGrace)
+	if remaining <= 0 {
+		return
+	}
+	m.kept, m.keptUntil = delta.Kept, m.clock.Now()+remaining
+	m.mergeKept()
+}
+
+// mergeKept sets the snapshot to the table and the kept items. Callers hold m.mu.
+func (m *Mirror) mergeKept() {
+	m.snapshot = m.table
+	if len(m.kept) == 0 {
+		return
+	}
+	m.snapshot.Items = maps.Clone(m.kept)
+	maps.Copy(m.snapshot.Items, m.table.Items)
+}
+
+// DropExpired drops the kept items once DeletionGrace has ended. It reports whether the
+// copy changed.
+func (m *Mirror) DropExpired() bool {
+	m.publishMu.Lock()
+	defer m.publishMu.Unlock()
+	m.mu.Lock()
+	if len(m.kept) == 0 || m.clock.Now() < m.keptUntil {
+		m.mu.Unlock()
+
+		return false
+	}
+	m.kept = nil
+	m.mergeKept()
+	m.mu.Unlock()
+	m.options.OnChange(m.Snapshot())
+
+	return true
+}
--- a/internal/run/mirror/mirror.go
+++ b/internal/run/mirror/mirror.go
@@ -89,8 +89,8 @@
 	Revision uint64
 }
 
-// Delta is what changed in a table since an older copy. Entry VMs send it to each other
-// under these field names.
+// Delta is what changed in the store's table since an older copy. Entry VMs send it to
+// each other under these field names.
 type Delta struct {
 	// Whole is true when Items are the whole table.
 	Whole bool
@@ -100,6 +100,11 @@
 	Deleted []string
 	// Revision is the revision of the copy after the changes.
 	Revision uint64
+	// Kept are the items that the sender keeps although the store no longer has them, see
+	// Options.DeletionGrace, and KeptMillis is for how much longer. Only a receiver without
+	// a copy of its own takes them over.
+	Kept       map[string]Item
+	KeptMillis int64
 }
 
 // Options configure a mirror.
@@ -132,8 +137,13 @@
 	publishMu sync.Mutex
 
 	// mu guards the fields below.
-	mu       sync.Mutex
-	snapshot Snapshot
+	mu sync.Mutex
+	// table is the copy of the store's table. kept are the items that are kept until
+	// keptUntil although the table no longer has them. snapshot is both together.
+	table     Snapshot
+	kept      map[string]Item
+	keptUntil time.Duration
+	snapshot  Snapshot
 	// tombstones are the revisions at which deletions were seen, by key.
 	tombstones map[string]uint64
 	// loaded is true once there is a copy.
@@ -151,10 +161,6 @@
 	ownReadAt time.Duration
 	// newerReadAt is when another entry VM last read a newer table than the copy.
 	newerReadAt time.Duration
-	// rereadAt is when DeletionGrace ends for items that were kept, or 0 if none were
-	// kept. From then on this entry VM must read the table itself, because the deltas
-	// of other entry VMs do not contain the deletions again.
-	rereadAt time.Duration
 	// storeDown is true while reads fail. storeUpAt is when it last became false, or
 	// nothing if no read has failed yet: the first read after a start ends no outage.
 	storeDown bool
@@ -165,11 +171,12 @@
 func New(source Source, clock timer.TimeSource, log *zap.Logger, options Options) *Mirror {
 	return &Mirror{
 		source: source, clock: clock, log: log.With(zap.String("table", options.Prefix)), options: options,
-		snapshot: Snapshot{Items: map[string]Item{}}, tombstones: map[string]uint64{},
+		table: Snapshot{Items: map[string]Item{}}, snapshot: Snapshot{Items: map[string]Item{}}, tombstones: map[string]uint64{},
 	}
 }
 
-// Snapshot returns the current copy. The caller must not change it.
+// Snapshot returns the current copy with the items that are kept after an outage. The
+// caller must not change it.
 func (m *Mirror) Snapshot() Snapshot {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -190,7 +197,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 
-	return m.snapshot.Revision, m.loaded
+	return m.table.Revision, m.loaded
 }
 
 // OwnReadAge returns how long ago this entry VM itself read the table from the store.
@@ -228,10 +235,6 @@
 		return false
 	}
 
-	if m.rereadAt > 0 && now >= m.rereadAt {
-		return true
-	}
-
 	if !m.loaded {
 		firstDueAt := m.firstDueAt.Or(now)
 		m.firstDueAt = option.Some(firstDueAt)
@@ -315,7 +318,7 @@
 		return
 	}
 	m.storeDown = true
-	m.log.Warn("store does not answer, keeping the last copy", zap.Uint64("revision", m.snapshot.Revision), zap.Error(err))
+	m.log.Warn("store does not answer, keeping the last copy", zap.Uint64("revision", m.table.Revision), zap.Error(err))
 }
 
 // readSucceeded ends a read that began at start and returned these items at this
@@ -330,49 +333,40 @@
 		m.log.Info("store answers", zap.Uint64("revision", revision), zap.Int("items", len(items)))
 	}
 	m.freshAt, m.ownReadAt = max(m.freshAt, start), start
-	if m.loaded && revision <= m.snapshot.Revision {
+	if m.loaded && (revision <= m.table.Revision || !m.differs(items)) {
 		m.mu.Unlock()
 
 		return false
 	}
-	m.rereadAt = 0
-	changed := !m.loaded || m.mergeDeletions(items, revision)
-	m.loaded = true
-	if changed {
-		m.snapshot = Snapshot{Items: items, Revision: revision}
-	}
+	m.replaceTable(Snapshot{Items: items, Revision: revision})
 	m.mu.Unlock()
-	if changed {
-		m.options.OnChange(m.Snapshot())
-	}
+	m.options.OnChange(m.Snapshot())
 
-	return changed
+	return true
 }
 
-// mergeDeletions compares items, the result of a read, with the copy. It records a
-// tombstone for each item that was deleted; during DeletionGrace it adds the item to
-// items again instead. It reports whether items then differs from the copy. Callers
-// hold m.mu.
-func (m *Mirror) mergeDeletions(items map[string]Item, revision uint64) bool {
-	storeUpAt, wasDown := m.storeUpAt.Get()
-	keepUntil := storeUpAt + m.options.DeletionGrace
-	keep := wasDown && m.clock.Now() < keepUntil
-	changed := false
-	for key, old := range m.snapshot.Items {
-		next, ok := items[key]
-		switch {
-		case !ok && keep:
-			items[key] = old
-			m.rereadAt = keepUntil
-		case !ok:
-			m.addTombstone(key, revision)
-			changed = true
-		case next.Revision != old.Revision:
-			changed = true
+// differs reports whether items, the result of a read, differ from the copy. Callers hold
+// m.mu.
+func (m *Mirror) differs(items map[string]Item) bool {
+	for key, old := range m.table.Items {
+		if next, ok := items[key]; !ok || next.Revision != old.Revision {
+			return true
 		}
 	}
 
-	return changed || len(items) != len(m.snapshot.Items)
+	return len(items) != len(m.table.Items)
+}
+
+// replaceTable replaces the copy, records tombstones for the items that the new table
+// lacks, and keeps these items during DeletionGrace. Callers hold m.mu.
+func (m *Mirror) replaceTable(next Snapshot) {
+	for key := range m.table.Items {
+		if _, ok := next.Items[key]; !ok {
+			m.addTombstone(key, next.Revision)
+		}
+	}
+	m.table, m.loaded = next, true
+	m.keepMissing()
 }
 
 // addTombstone records a deletion for deltas. If there are maxTombstones already, it
@@ -391,14 +385,14 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	age, read := readAge.Get()
-	if !m.loaded || revision > m.snapshot.Revision {
+	if !m.loaded || revision > m.table.Revision {
 		if read {
 			m.newerReadAt = max(m.newerReadAt, m.clock.Now()-age)
 		}
 
 		return true
 	}
-	if read && revision == m.snapshot.Revision {
+	if read && revision == m.table.Revision {
 		m.freshAt = max(m.freshAt, m.clock.Now()-age)
 	}
 
@@ -410,20 +404,23 @@
 func (m *Mirror) ChangesSince(revision uint64) Delta {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	delta := Delta{Items: map[string]Item{}, Revision: m.snapshot.Revision}
+	delta := Delta{Items: map[string]Item{}, Revision: m.table.Revision}
+	if revision == 0 {
+		delta.Kept, delta.KeptMillis = m.kept, (m.keptUntil - m.clock.Now()).Milliseconds()
+	}
 	if revision == 0 || len(m.tombstones) >= maxTombstones/2 {
 		delta.Whole = true
-		maps.Copy(delta.Items, m.snapshot.Items)
+		maps.Copy(delta.Items, m.table.Items)
 
 		return delta
 	}
-	for key, item := range m.snapshot.Items {
+	for key, item := range m.table.Items {
 		if item.Revision > revision {
 			delta.Items[key] = item
 		}
 	}
 	for key, deletedAt := range m.tombstones {
-		if _, ok := m.snapshot.Items[key]; !ok && deletedAt > revision {
+		if _, ok := m.table.Items[key]; !ok && deletedAt > revision {
 			delta.Deleted = append(delta.Deleted, key)
 		}
 	}
@@ -439,14 +436,14 @@
 	m.publishMu.Lock()
 	defer m.publishMu.Unlock()
 	m.mu.Lock()
-	if m.loaded && (delta.Revision <= m.snapshot.Revision || !delta.Whole && base != m.snapshot.Revision) {
+	if m.loaded && (delta.Revision <= m.table.Revision || !delta.Whole && base != m.table.Revision) {
 		m.mu.Unlock()
 
 		return false
 	}
 	items := delta.Items
 	if !delta.Whole {
-		items = maps.Clone(m.snapshot.Items)
+		items = maps.Clone(m.table.Items)
 		maps.Copy(items, delta.Items)
 		for _, key := range delta.Deleted {
 			delete(items, key)
@@ -455,13 +452,11 @@
 	if items == nil {
 		items = map[string]Item{}
 	}
-	for key := range m.snapshot.Items {
-		if _, ok := items[key]; !ok {
-			m.addTombstone(key, delta.Revision)
-		}
+	wasLoaded := m.loaded
+	m.replaceTable(Snapshot{Items: items, Revision: delta.Revision})
+	if !wasLoaded {
+		m.keepReceived(delta)
 	}
-	m.loaded = true
-	m.snapshot = Snapshot{Items: items, Revision: delta.Revision}
 	m.mu.Unlock()
 	m.options.OnChange(m.Snapshot())
 
--- a/internal/run/mirror/mirror_test.go
+++ b/internal/run/mirror/mirror_test.go
@@ -211,12 +211,81 @@
 	f.mirror.Read(t.Context())
 	require.Len(t, f.keys(), 3)
 	f.store.put("t/1", string(expired.Value))
-	f.clock.Advance(deletionGrace + time.Second)
-	revision, _ := f.mirror.Revision()
-	f.mirror.ObserveRevision(revision, option.Some(time.Duration(0)))
-	require.True(t, f.mirror.Due(3, 3), "deltas of other entry VMs do not contain the deletion again")
 	f.mirror.Read(t.Context())
+	f.clock.Advance(deletionGrace - time.Millisecond)
+	require.False(t, f.mirror.DropExpired())
+	f.clock.Advance(time.Millisecond)
+	calls := f.store.calls
+	require.True(t, f.mirror.DropExpired())
 	require.Equal(t, []string{"t/1", "t/2"}, f.keys())
+	require.Equal(t, calls, f.store.calls, "the end of the grace needs a read of the store")
+}
+
+// outage makes the next read of a mirror fail, then the store answer again.
+func (f *fixture) outage(t *testing.T) {
+	t.Helper()
+	f.store.unreachable = true
+	require.False(t, f.mirror.Read(t.Context()))
+	f.clock.Advance(time.Second)
+	f.store.unreachable = false
+}
+
+// Guards against servers that stay in use after the grace that follows an outage. The
+// store's revision does not move when the grace ends.
+func TestKeptItemsGoWithoutChangeOfStore(t *testing.T) {
+	t.Parallel()
+	f := newFixture(newStore(3), 2*time.Second)
+	f.mirror.Read(t.Context())
+	f.outage(t)
+	f.store.remove("t/0")
+	f.store.put("t/1", "y")
+	f.mirror.Read(t.Context())
+	require.Equal(t, []string{"t/0", "t/1", "t/2"}, f.keys())
+	for range 5 {
+		f.clock.Advance(500 * time.Millisecond)
+		f.mirror.Read(t.Context())
+		f.mirror.DropExpired()
+	}
+	require.Equal(t, []string{"t/1", "t/2"}, f.keys())
+}
+
+// Guards against entry VMs that were in touch with the store all the time and take over
+// what another keeps after its own outage.
+func TestKeptItemsStayOnOneEntryVM(t *testing.T) {
+	t.Parallel()
+	s := newStore(3)
+	back, inTouch := newFixture(s, 2*time.Second), newFixture(s, 2*time.Second)
+	back.mirror.Read(t.Context())
+	inTouch.mirror.Read(t.Context())
+	back.outage(t)
+	s.remove("t/0")
+	s.put("t/1", "y")
+	back.mirror.Read(t.Context())
+	require.Len(t, back.keys(), 3)
+	base, _ := inTouch.mirror.Revision()
+	require.True(t, inTouch.mirror.ApplyDelta(base, back.mirror.ChangesSince(base)))
+	require.Equal(t, []string{"t/1", "t/2"}, inTouch.keys())
+}
+
+// Guards against an entry VM that starts right after an outage and drops servers whose
+// entries are about to be written again.
+func TestStartAfterOutageTakesOverKeptItems(t *testing.T) {
+	t.Parallel()
+	s := newStore(3)
+	other, started := newFixture(s, 2*time.Second), newFixture(s, 2*time.Second)
+	other.mirror.Read(t.Context())
+	other.outage(t)
+	s.remove("t/0")
+	other.mirror.Read(t.Context())
+	other.clock.Advance(500 * time.Millisecond)
+	require.True(t, started.mirror.ApplyDelta(0, other.mirror.ChangesSince(0)))
+	started.clock.Advance(time.Second)
+	s.put("t/1", "y")
+	require.True(t, started.mirror.Read(t.Context()))
+	require.Len(t, started.keys(), 3)
+	started.clock.Advance(500 * time.Millisecond)
+	require.True(t, started.mirror.DropExpired())
+	require.Equal(t, []string{"t/1", "t/2"}, started.keys())
 }
 
 // Guards against servers that left and stay in use after an entry VM has restarted: its
