Tell an outage of the store by the reads of all entry VMs

Cause: the end of failed reads of one entry VM counted as the end of an outage of the store, though other entry VMs had read the table all along and no entry had expired. The reverse failed too: an entry VM whose turn to read had not come did not know of an outage at all.

Change: an outage has ended when a read becomes known and no entry VM is known to have read the table for longer than entries take to expire (the heartbeats of the settings file). Reads are known from own reads, reports and the age in a delta. The reports of failing reads stay as they are.

--- a/internal/run/direct/entryvm.go
+++ b/internal/run/direct/entryvm.go
@@ -122,7 +122,7 @@
 		}),
 		TableServers: mirror.New(d, clock, log, mirror.Options{
 			Prefix: d.Prefix(TableServers), MaxAge: settings.TableMaxAge, DeletionGrace: settings.ServerDeletionGrace,
-			MaxItemBytes: maxEntryBytes, OnChange: p.serversChanged,
+			OutageGap: settings.OutageGap, MaxItemBytes: maxEntryBytes, OnChange: p.serversChanged,
 		}),
 		TableEntryVMs: mirror.New(d, clock, log, mirror.Options{
 			Prefix: d.Prefix(TableEntryVMs), MaxAge: entryVMsMaxAge, MaxItemBytes: maxEntryBytes, OnChange: p.entryVMsChanged,
--- a/internal/run/direct/settings.go
+++ b/internal/run/direct/settings.go
@@ -35,6 +35,9 @@
 	// the store during which their entries expired. The servers may write the entries
 	// again in this time.
 	ServerDeletionGrace time.Duration
+	// OutageGap is the shortest time without a read of the store by any entry VM after
+	// which entries of running backend servers may have expired.
+	OutageGap time.Duration
 	// Strength ranks entry VMs by the capacity of their links; a higher value is more
 	// capacity. The strongest entry VMs read the store's tables for all, and relay
 	// reports.
--- a/internal/run/mirror/grace.go
+++ b/internal/run/mirror/grace.go
@@ -2,7 +2,11 @@
 
 import (
 	"maps"
+	"time"
 
+	"go.uber.org/zap"
+
+	"github.com/greengagetally/greengagetally/internal/value/option"
 	"github.com/greengagetally/greengagetally/internal/value/units"
 )
 
@@ -13,6 +17,22 @@
 // So an item that is kept without need is kept on one entry VM only, and goes after
 // DeletionGrace even if the table does not change any more.
 
+// noteRead records that some entry VM read the table at a time. A read ends an outage if
+// none was known for longer than OutageGap before it. Whether own reads failed does not
+// matter: the store may turn away or not reach this entry VM only, and then the entries
+// that it deletes are those of servers that left. Callers hold m.mu.
+func (m *Mirror) noteRead(at time.Duration) {
+	last, known := m.readAt.Get()
+	if known && at-last > m.options.OutageGap {
+		m.storeUpAt = option.Some(at)
+		m.log.Info("store was read by no entry VM, entries that expired are kept for a while",
+			zap.Duration("gap", at-last), zap.Duration("grace", m.options.DeletionGrace))
+	}
+	if !known || at > last {
+		m.readAt = option.Some(at)
+	}
+}
+
 // keepMissing keeps the items of the last snapshot that the table no longer has, if an
 // outage ended less than DeletionGrace ago. Otherwise it goes on to keep those that are
 // kept already. Callers hold m.mu.
--- a/internal/run/mirror/mirror.go
+++ b/internal/run/mirror/mirror.go
@@ -20,6 +20,7 @@
 
 	"github.com/greengagetally/greengagetally/internal/clock/timer"
 	"github.com/greengagetally/greengagetally/internal/value/option"
+	"github.com/greengagetally/greengagetally/internal/value/units"
 )
 
 // Item is one key of the store with its value.
@@ -105,6 +106,9 @@
 	// a copy of its own takes them over.
 	Kept       map[string]Item
 	KeptMillis int64
+	// ReadAgeMillis is how long ago some entry VM read the table, as far as the sender
+	// knows.
+	ReadAgeMillis int64
 }
 
 // Options configure a mirror.
@@ -121,6 +125,9 @@
 	// outage. The time counts from when the store answers again. The owners of the
 	// items may write them again in this time. 0 keeps none.
 	DeletionGrace time.Duration
+	// OutageGap is the time without a read by any entry VM after which a read counts as
+	// the end of an outage. A shorter outage does not make items expire.
+	OutageGap time.Duration
 	// OnChange is called with the new copy after every change, one call at a time.
 	OnChange func(Snapshot)
 }
@@ -161,9 +168,11 @@
 	ownReadAt time.Duration
 	// newerReadAt is when another entry VM last read a newer table than the copy.
 	newerReadAt time.Duration
-	// storeDown is true while reads fail. storeUpAt is when it last became false, or
-	// nothing if no read has failed yet: the first read after a start ends no outage.
-	storeDown bool
+	// failing is true while own reads fail.
+	failing bool
+	// readAt is the time of the newest read of the table by any entry VM, as far as it is
+	// known here. storeUpAt is the time of the last read that ended an outage.
+	readAt    option.Option[time.Duration]
 	storeUpAt option.Option[time.Duration]
 }
 
@@ -218,7 +227,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 
-	return m.storeDown && m.loaded
+	return m.failing && m.loaded
 }
 
 // Due reports whether this entry VM should read the table now. readRank and retryRank
@@ -231,7 +240,7 @@
 	if m.reading || now < m.retryAt {
 		return false
 	}
-	if m.storeDown && m.loaded && now < m.retryAt+time.Duration(min(retryRank, maxRetryRank))*retryRankDelay {
+	if m.failing && m.loaded && now < m.retryAt+time.Duration(min(retryRank, maxRetryRank))*retryRankDelay {
 		return false
 	}
 
@@ -314,10 +323,10 @@
 	defer m.mu.Unlock()
 	m.reading = false
 	m.retryAt = m.clock.Now() + readRetryPause
-	if m.storeDown {
+	if m.failing {
 		return
 	}
-	m.storeDown = true
+	m.failing = true
 	m.log.Warn("store does not answer, keeping the last copy", zap.Uint64("revision", m.table.Revision), zap.Error(err))
 }
 
@@ -328,8 +337,9 @@
 	defer m.publishMu.Unlock()
 	m.mu.Lock()
 	m.reading = false
-	if m.storeDown {
-		m.storeDown, m.storeUpAt = false, option.Some(m.clock.Now())
+	m.noteRead(start)
+	if m.failing {
+		m.failing = false
 		m.log.Info("store answers", zap.Uint64("revision", revision), zap.Int("items", len(items)))
 	}
 	m.freshAt, m.ownReadAt = max(m.freshAt, start), start
@@ -385,6 +395,9 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	age, read := readAge.Get()
+	if read {
+		m.noteRead(m.clock.Now() - age)
+	}
 	if !m.loaded || revision > m.table.Revision {
 		if read {
 			m.newerReadAt = max(m.newerReadAt, m.clock.Now()-age)
@@ -404,9 +417,10 @@
 func (m *Mirror) ChangesSince(revision uint64) Delta {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	delta := Delta{Items: map[string]Item{}, Revision: m.table.Revision}
+	now := m.clock.Now()
+	delta := Delta{Items: map[string]Item{}, Revision: m.table.Revision, ReadAgeMillis: (now - m.readAt.Or(now)).Milliseconds()}
 	if revision == 0 {
-		delta.Kept, delta.KeptMillis = m.kept, (m.keptUntil - m.clock.Now()).Milliseconds()
+		delta.Kept, delta.KeptMillis = m.kept, (m.keptUntil - now).Milliseconds()
 	}
 	if revision == 0 || len(m.tombstones) >= maxTombstones/2 {
 		delta.Whole = true
@@ -452,6 +466,7 @@
 	if items == nil {
 		items = map[string]Item{}
 	}
+	m.noteRead(m.clock.Now() - units.ClampMillis(float64(delta.ReadAgeMillis)))
 	wasLoaded := m.loaded
 	m.replaceTable(Snapshot{Items: items, Revision: delta.Revision})
 	if !wasLoaded {
--- a/internal/run/mirror/mirror_test.go
+++ b/internal/run/mirror/mirror_test.go
@@ -65,11 +65,14 @@
 	changes int
 }
 
+// outageGap is the Options.OutageGap of the mirrors.
+const outageGap = 3 * time.Second
+
 // newFixture returns a mirror of a store; its MaxAge is 500 ms.
 func newFixture(s *store, deletionGrace time.Duration) *fixture {
 	f := &fixture{store: s, clock: timer.NewManual(time.Unix(0, 0))}
 	f.mirror = mirror.New(s, f.clock, zap.NewNop(), mirror.Options{
-		Prefix: "t/", MaxAge: 500 * time.Millisecond, DeletionGrace: deletionGrace, OnChange: func(mirror.Snapshot) { f.changes++ },
+		Prefix: "t/", MaxAge: 500 * time.Millisecond, DeletionGrace: deletionGrace, OutageGap: outageGap, OnChange: func(mirror.Snapshot) { f.changes++ },
 	})
 
 	return f
@@ -226,7 +229,7 @@
 	t.Helper()
 	f.store.unreachable = true
 	require.False(t, f.mirror.Read(t.Context()))
-	f.clock.Advance(time.Second)
+	f.clock.Advance(outageGap + time.Millisecond)
 	f.store.unreachable = false
 }
 
@@ -267,6 +270,49 @@
 	require.Equal(t, []string{"t/1", "t/2"}, inTouch.keys())
 }
 
+// Guards against servers that left and stay in use at an entry VM, and at those that copy
+// its table, because the store was out of reach of that entry VM alone.
+func TestStoreOutOfReachOfOneEntryVMIsNoOutage(t *testing.T) {
+	t.Parallel()
+	s := newStore(3)
+	f := newFixture(s, 2*time.Second)
+	f.mirror.Read(t.Context())
+	revision, _ := f.mirror.Revision()
+	for range 10 {
+		s.unreachable = true
+		require.False(t, f.mirror.Read(t.Context()))
+		s.unreachable = false
+		f.clock.Advance(500 * time.Millisecond)
+		f.mirror.ObserveRevision(revision, option.Some(100*time.Millisecond))
+	}
+	s.remove("t/0")
+	require.True(t, f.mirror.Read(t.Context()))
+	require.Equal(t, []string{"t/1", "t/2"}, f.keys())
+}
+
+// Guards against an entry VM that has read the store never or long ago, and drops the
+// servers that an outage made expire because it does not know of the outage.
+func TestOutageIsKnownWithoutOwnReads(t *testing.T) {
+	t.Parallel()
+	s := newStore(3)
+	reader, copier := newFixture(s, 2*time.Second), newFixture(s, 2*time.Second)
+	reader.mirror.Read(t.Context())
+	reader.clock.Advance(2 * time.Second)
+	require.True(t, copier.mirror.ApplyDelta(0, reader.mirror.ChangesSince(0)))
+	reader.clock.Advance(1500 * time.Millisecond)
+	copier.clock.Advance(1500 * time.Millisecond)
+	s.remove("t/0")
+	s.put("t/1", "y")
+	reader.mirror.Read(t.Context())
+	base, _ := copier.mirror.Revision()
+	require.True(t, copier.mirror.ApplyDelta(base, reader.mirror.ChangesSince(base)))
+	require.Len(t, reader.keys(), 3)
+	require.Len(t, copier.keys(), 3)
+	copier.clock.Advance(2 * time.Second)
+	require.True(t, copier.mirror.DropExpired())
+	require.Equal(t, []string{"t/1", "t/2"}, copier.keys())
+}
+
 // Guards against an entry VM that starts right after an outage and drops servers whose
 // entries are about to be written again.
 func TestStartAfterOutageTakesOverKeptItems(t *testing.T) {
