State in a delta from which revision it is complete

Cause: an entry VM remembered deletions as tombstones and dropped all of them at 1,024, with those of the same read that nobody had copied yet. The next delta left them out, and the receiver took over its revision, so it never asked again. The same cause stood on four other paths: a sender that started after the deletion; an entry that came and went between two reads of the sender, while the receiver had read the table; an entry that left between two pages of a read, so that the copy lacks it at an older revision; and two copies of one revision of which one shows part of a later change.

Change: package value/table holds copies with the history of their deletions. A delta says from which revision it is complete, the latest one not after the receiver's at which the sender's copy was the table; the receiver drops what changed since then and is not in the delta. Where the history does not reach back so far, the whole table is sent. A copy whose pages differ in revision is not exact: no delta starts at it, it does not count as fresh by another entry VM's read, and the next read replaces it.

--- a/internal/run/direct/copy.go
+++ b/internal/run/direct/copy.go
@@ -119,7 +119,7 @@
 		p.log.Debug("an entry VM sends other copies", zap.String("table", table), zap.Stringer("from", source))
 	case err != nil:
 		p.log.Warn("table of an entry VM was not read", zap.String("table", table), zap.Stringer("from", source), zap.Error(err))
-	case m.ApplyDelta(base, delta):
+	case m.ApplyDelta(delta):
 		p.reportNow()
 	}
 	p.peers.mu.Lock()
--- a/internal/run/mirror/grace.go
+++ b/internal/run/mirror/grace.go
@@ -45,7 +45,7 @@
 	}
 	m.kept = map[string]Item{}
 	for key, item := range candidates {
-		if _, ok := m.table.Items[key]; !ok && now < m.keptUntil {
+		if _, ok := m.table.Items()[key]; !ok && now < m.keptUntil {
 			m.kept[key] = item
 		}
 	}
@@ -64,12 +64,12 @@
 
 // mergeKept sets the snapshot to the table and the kept items. Callers hold m.mu.
 func (m *Mirror) mergeKept() {
-	m.snapshot = m.table
+	m.snapshot = Snapshot{Items: m.table.Items(), Revision: m.table.Revision()}
 	if len(m.kept) == 0 {
 		return
 	}
 	m.snapshot.Items = maps.Clone(m.kept)
-	maps.Copy(m.snapshot.Items, m.table.Items)
+	maps.Copy(m.snapshot.Items, m.table.Items())
 }
 
 // DropExpired drops the kept items once DeletionGrace has ended. It reports whether the
--- a/internal/run/mirror/mirror.go
+++ b/internal/run/mirror/mirror.go
@@ -11,7 +11,6 @@
 
 import (
 	"context"
-	"maps"
 	"math"
 	"sync"
 	"time"
@@ -20,16 +19,12 @@
 
 	"github.com/greengagetally/greengagetally/internal/clock/timer"
 	"github.com/greengagetally/greengagetally/internal/value/option"
+	"github.com/greengagetally/greengagetally/internal/value/table"
 	"github.com/greengagetally/greengagetally/internal/value/units"
 )
 
 // Item is one key of the store with its value.
-type Item struct {
-	Key   string
-	Value []byte
-	// Revision is the store's revision at the last change of the item.
-	Revision uint64
-}
+type Item = table.Item
 
 // Page is one part of a table that was read in parts.
 type Page struct {
@@ -78,8 +73,6 @@
 	maxRetryRank   = 8
 	// maxReportedReadAge is the age from which a read is no longer reported to others.
 	maxReportedReadAge = 2 * time.Second
-	// maxTombstones bounds the number of deletions that are remembered for deltas.
-	maxTombstones = 1024
 )
 
 // Snapshot is a copy of a whole table.
@@ -93,14 +86,8 @@
 // Delta is what changed in the store's table since an older copy. Entry VMs send it to
 // each other under these field names.
 type Delta struct {
-	// Whole is true when Items are the whole table.
-	Whole bool
-	// Items are the changed items by key.
-	Items map[string]Item
-	// Deleted are the keys of the deleted items.
-	Deleted []string
-	// Revision is the revision of the copy after the changes.
-	Revision uint64
+	table.Delta
+
 	// Kept are the items that the sender keeps although the store no longer has them, see
 	// Options.DeletionGrace, and KeptMillis is for how much longer. Only a receiver without
 	// a copy of its own takes them over.
@@ -147,14 +134,10 @@
 	mu sync.Mutex
 	// table is the copy of the store's table. kept are the items that are kept until
 	// keptUntil although the table no longer has them. snapshot is both together.
-	table     Snapshot
+	table     table.Copy
 	kept      map[string]Item
 	keptUntil time.Duration
 	snapshot  Snapshot
-	// tombstones are the revisions at which deletions were seen, by key.
-	tombstones map[string]uint64
-	// loaded is true once there is a copy.
-	loaded bool
 	// reading is true while a read is in progress.
 	reading bool
 	// retryAt is the earliest time of the next read after a failed read.
@@ -180,7 +163,7 @@
 func New(source Source, clock timer.TimeSource, log *zap.Logger, options Options) *Mirror {
 	return &Mirror{
 		source: source, clock: clock, log: log.With(zap.String("table", options.Prefix)), options: options,
-		table: Snapshot{Items: map[string]Item{}}, snapshot: Snapshot{Items: map[string]Item{}}, tombstones: map[string]uint64{},
+		snapshot: Snapshot{Items: map[string]Item{}},
 	}
 }
 
@@ -198,7 +181,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 
-	return m.loaded
+	return m.table.Loaded()
 }
 
 // Revision returns the revision of the copy. ok is false while there is none.
@@ -206,7 +189,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 
-	return m.table.Revision, m.loaded
+	return m.table.Revision(), m.table.Loaded()
 }
 
 // OwnReadAge returns how long ago this entry VM itself read the table from the store.
@@ -219,7 +202,7 @@
 	defer m.mu.Unlock()
 	age = m.clock.Now() - m.ownReadAt
 
-	return age, m.loaded && m.ownReadAt > 0 && age < maxReportedReadAge
+	return age, m.table.Loaded() && m.ownReadAt > 0 && age < maxReportedReadAge
 }
 
 // Failing reports whether there is a copy and the last read from the store failed.
@@ -227,7 +210,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 
-	return m.failing && m.loaded
+	return m.failing && m.table.Loaded()
 }
 
 // Due reports whether this entry VM should read the table now. readRank and retryRank
@@ -240,11 +223,11 @@
 	if m.reading || now < m.retryAt {
 		return false
 	}
-	if m.failing && m.loaded && now < m.retryAt+time.Duration(min(retryRank, maxRetryRank))*retryRankDelay {
+	if m.failing && m.table.Loaded() && now < m.retryAt+time.Duration(min(retryRank, maxRetryRank))*retryRankDelay {
 		return false
 	}
 
-	if !m.loaded {
+	if !m.table.Loaded() {
 		firstDueAt := m.firstDueAt.Or(now)
 		m.firstDueAt = option.Some(firstDueAt)
 
@@ -279,40 +262,45 @@
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	start := m.clock.Now()
-	items, revision, err := m.readAll(ctx)
+	read, err := m.readAll(ctx)
 	if err != nil {
 		m.readFailed(err)
 
 		return false
 	}
 
-	return m.readSucceeded(items, revision, start)
+	return m.readSucceeded(read, start)
 }
 
-// readAll reads all pages of the table. It returns the items by key and the store's
-// revision at the first page.
-func (m *Mirror) readAll(ctx context.Context) (map[string]Item, uint64, error) {
-	items := map[string]Item{}
-	afterKey, revision := "", uint64(0)
+// wholeRead is the result of a read of the whole table: the items by key, and the store's
+// revisions at the first and at the last page. The store may have changed between them.
+type wholeRead struct {
+	items         map[string]Item
+	first, newest uint64
+}
+
+// readAll reads all pages of the table.
+func (m *Mirror) readAll(ctx context.Context) (wholeRead, error) {
+	read := wholeRead{items: map[string]Item{}}
+	afterKey := ""
 	for {
 		page, err := m.source.Range(ctx, m.options.Prefix, afterKey)
 		if err != nil {
-			return nil, 0, err //nolint:wrapcheck // The source describes its calls.
+			return wholeRead{}, err //nolint:wrapcheck // The source describes its calls.
 		}
-		if revision == 0 {
-			// Later pages may contain changes made after this revision. The next read
-			// finds those that this read misses.
-			revision = page.Revision
+		if read.first == 0 {
+			read.first = page.Revision
 		}
+		read.newest = page.Revision
 		for _, item := range page.Items {
 			if m.options.MaxItemBytes > 0 && len(item.Value) > m.options.MaxItemBytes {
 				item.Value = nil
 			}
-			items[item.Key] = item
+			read.items[item.Key] = item
 			afterKey = item.Key
 		}
 		if !page.More || len(page.Items) == 0 {
-			return items, revision, nil
+			return read, nil
 		}
 	}
 }
@@ -327,12 +315,11 @@
 		return
 	}
 	m.failing = true
-	m.log.Warn("store does not answer, keeping the last copy", zap.Uint64("revision", m.table.Revision), zap.Error(err))
+	m.log.Warn("store does not answer, keeping the last copy", zap.Uint64("revision", m.table.Revision()), zap.Error(err))
 }
 
-// readSucceeded ends a read that began at start and returned these items at this
-// revision. It reports whether the copy changed.
-func (m *Mirror) readSucceeded(items map[string]Item, revision uint64, start time.Duration) bool {
+// readSucceeded ends a read that began at start. It reports whether the copy changed.
+func (m *Mirror) readSucceeded(read wholeRead, start time.Duration) bool {
 	m.publishMu.Lock()
 	defer m.publishMu.Unlock()
 	m.mu.Lock()
@@ -340,52 +327,20 @@
 	m.noteRead(start)
 	if m.failing {
 		m.failing = false
-		m.log.Info("store answers", zap.Uint64("revision", revision), zap.Int("items", len(items)))
+		m.log.Info("store answers", zap.Uint64("revision", read.first), zap.Int("items", len(read.items)))
 	}
 	m.freshAt, m.ownReadAt = max(m.freshAt, start), start
-	if m.loaded && (revision <= m.table.Revision || !m.differs(items)) {
-		m.mu.Unlock()
-
-		return false
+	next, changed := m.table.WithRead(read.items, read.first, read.newest)
+	if changed {
+		m.table = next
+		m.keepMissing()
 	}
-	m.replaceTable(Snapshot{Items: items, Revision: revision})
 	m.mu.Unlock()
-	m.options.OnChange(m.Snapshot())
-
-	return true
-}
-
-// differs reports whether items, the result of a read, differ from the copy. Callers hold
-// m.mu.
-func (m *Mirror) differs(items map[string]Item) bool {
-	for key, old := range m.table.Items {
-		if next, ok := items[key]; !ok || next.Revision != old.Revision {
-			return true
-		}
-	}
-
-	return len(items) != len(m.table.Items)
-}
-
-// replaceTable replaces the copy, records tombstones for the items that the new table
-// lacks, and keeps these items during DeletionGrace. Callers hold m.mu.
-func (m *Mirror) replaceTable(next Snapshot) {
-	for key := range m.table.Items {
-		if _, ok := next.Items[key]; !ok {
-			m.addTombstone(key, next.Revision)
-		}
+	if changed {
+		m.options.OnChange(m.Snapshot())
 	}
-	m.table, m.loaded = next, true
-	m.keepMissing()
-}
 
-// addTombstone records a deletion for deltas. If there are maxTombstones already, it
-// first drops them. Callers hold m.mu.
-func (m *Mirror) addTombstone(key string, revision uint64) {
-	if len(m.tombstones) >= maxTombstones {
-		clear(m.tombstones)
-	}
-	m.tombstones[key] = revision
+	return changed
 }
 
 // ObserveRevision records the revision of another entry VM's copy. readAge is how long
@@ -398,77 +353,51 @@
 	if read {
 		m.noteRead(m.clock.Now() - age)
 	}
-	if !m.loaded || revision > m.table.Revision {
+	if !m.table.Loaded() || revision > m.table.Revision() {
 		if read {
 			m.newerReadAt = max(m.newerReadAt, m.clock.Now()-age)
 		}
 
 		return true
 	}
-	if read && revision == m.table.Revision {
+	if read && revision == m.table.Revision() && m.table.IsExact() {
 		m.freshAt = max(m.freshAt, m.clock.Now()-age)
 	}
 
 	return false
 }
 
-// ChangesSince returns what changed in the table after a revision. It returns the whole
-// table for revision 0, and while there are at least maxTombstones/2 tombstones.
+// ChangesSince returns what changed in the table after a revision, or the whole table, see
+// table.Copy.DeltaSince. Revision 0 stands for no copy.
 func (m *Mirror) ChangesSince(revision uint64) Delta {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.clock.Now()
-	delta := Delta{Items: map[string]Item{}, Revision: m.table.Revision, ReadAgeMillis: (now - m.readAt.Or(now)).Milliseconds()}
+	delta := Delta{Delta: m.table.DeltaSince(revision), ReadAgeMillis: (now - m.readAt.Or(now)).Milliseconds()}
 	if revision == 0 {
 		delta.Kept, delta.KeptMillis = m.kept, (m.keptUntil - now).Milliseconds()
 	}
-	if revision == 0 || len(m.tombstones) >= maxTombstones/2 {
-		delta.Whole = true
-		maps.Copy(delta.Items, m.table.Items)
-
-		return delta
-	}
-	for key, item := range m.table.Items {
-		if item.Revision > revision {
-			delta.Items[key] = item
-		}
-	}
-	for key, deletedAt := range m.tombstones {
-		if _, ok := m.table.Items[key]; !ok && deletedAt > revision {
-			delta.Deleted = append(delta.Deleted, key)
-		}
-	}
 
 	return delta
 }
 
-// ApplyDelta applies a delta of another entry VM, which contains the changes after the
-// revision base, to the own copy. It changes nothing and returns false when the
-// revision of the delta is not newer than that of the own copy, or when the delta is
-// not the whole table and the own copy is no longer at base.
-func (m *Mirror) ApplyDelta(base uint64, delta Delta) bool {
+// ApplyDelta applies a delta of another entry VM to the own copy. It changes nothing and
+// returns false when the delta is not newer than the own copy, or does not reach back to
+// it.
+func (m *Mirror) ApplyDelta(delta Delta) bool {
 	m.publishMu.Lock()
 	defer m.publishMu.Unlock()
 	m.mu.Lock()
-	if m.loaded && (delta.Revision <= m.table.Revision || !delta.Whole && base != m.table.Revision) {
+	wasLoaded := m.table.Loaded()
+	next, ok := m.table.WithDelta(delta.Delta)
+	if !ok {
 		m.mu.Unlock()
 
 		return false
 	}
-	items := delta.Items
-	if !delta.Whole {
-		items = maps.Clone(m.table.Items)
-		maps.Copy(items, delta.Items)
-		for _, key := range delta.Deleted {
-			delete(items, key)
-		}
-	}
-	if items == nil {
-		items = map[string]Item{}
-	}
 	m.noteRead(m.clock.Now() - units.ClampMillis(float64(delta.ReadAgeMillis)))
-	wasLoaded := m.loaded
-	m.replaceTable(Snapshot{Items: items, Revision: delta.Revision})
+	m.table = next
+	m.keepMissing()
 	if !wasLoaded {
 		m.keepReceived(delta)
 	}
--- a/internal/run/mirror/mirror_test.go
+++ b/internal/run/mirror/mirror_test.go
@@ -25,6 +25,8 @@
 	revision    uint64
 	unreachable bool
 	calls       int
+	// afterPage is called after the first page of a read, if it is not nil.
+	afterPage func()
 }
 
 func (s *store) put(key, value string) {
@@ -53,6 +55,9 @@
 	for _, key := range keys[:min(len(keys), 2)] {
 		page.Items = append(page.Items, s.items[key])
 	}
+	if after == "" && s.afterPage != nil {
+		s.afterPage()
+	}
 
 	return page, nil
 }
@@ -88,6 +93,13 @@
 	return s
 }
 
+// copyTo copies the changes since the copy of another mirror to that mirror.
+func (f *fixture) copyTo(t *testing.T, to *fixture) {
+	t.Helper()
+	base, _ := to.mirror.Revision()
+	require.True(t, to.mirror.ApplyDelta(f.mirror.ChangesSince(base)))
+}
+
 // keys returns the sorted keys of the copy.
 func (f *fixture) keys() []string {
 	var keys []string
@@ -159,14 +171,11 @@
 	ahead.mirror.Read(t.Context())
 	revision, _ := ahead.mirror.Revision()
 	require.True(t, behind.mirror.ObserveRevision(revision, option.None[time.Duration]()))
-	base, _ := behind.mirror.Revision()
 	old := behind.mirror.ChangesSince(0)
-	// ahead has read the table only once, so it has no tombstone for t/2; the whole
-	// table is copied.
-	require.True(t, behind.mirror.ApplyDelta(base, ahead.mirror.ChangesSince(0)))
+	ahead.copyTo(t, behind)
 	require.Equal(t, []string{"t/0", "t/1"}, behind.keys())
 	require.Equal(t, "y", string(behind.mirror.Snapshot().Items["t/1"].Value))
-	require.False(t, behind.mirror.ApplyDelta(0, old))
+	require.False(t, behind.mirror.ApplyDelta(old))
 	require.Equal(t, []string{"t/0", "t/1"}, behind.keys())
 }
 
@@ -184,10 +193,78 @@
 	delta := ahead.mirror.ChangesSince(base)
 	require.False(t, delta.Whole)
 	require.Len(t, delta.Items, 1)
-	require.True(t, behind.mirror.ApplyDelta(base, delta))
+	ahead.copyTo(t, behind)
 	require.Equal(t, ahead.keys(), behind.keys())
 }
 
+// Guards against servers that left and stay in use at the entry VMs that do not read the
+// store themselves, from the departure on that fills the reader's memory of deletions.
+func TestDeltasAfterManyDepartures(t *testing.T) {
+	t.Parallel()
+	const servers, wave = 1500, 46
+	s := newStore(servers)
+	reader, copier := newFixture(s, 0), newFixture(s, 0)
+	reader.mirror.Read(t.Context())
+	reader.copyTo(t, copier)
+	for left := 0; left+wave < servers; left += wave {
+		for i := range wave {
+			s.remove(fmt.Sprint("t/", left+i))
+		}
+		require.True(t, reader.mirror.Read(t.Context()))
+		reader.copyTo(t, copier)
+		require.Equal(t, reader.keys(), copier.keys(), "after %d departures", left+wave)
+	}
+}
+
+// Guards against a server that stays in use at the entry VMs that copy from one that
+// started after the server had left.
+func TestDeltaOfEntryVMThatStartedLater(t *testing.T) {
+	t.Parallel()
+	s := newStore(3)
+	started, old := newFixture(s, 0), newFixture(s, 0)
+	old.mirror.Read(t.Context())
+	s.remove("t/0")
+	s.put("t/1", "y")
+	started.mirror.Read(t.Context())
+	started.copyTo(t, old)
+	require.Equal(t, []string{"t/1", "t/2"}, old.keys())
+}
+
+// Guards against a server that stays in use because it left between two pages of a read:
+// the copy of the reader lacks it although its revision is that of the first page.
+func TestDeletionBetweenPages(t *testing.T) {
+	t.Parallel()
+	s := newStore(5)
+	reader, other := newFixture(s, 0), newFixture(s, 0)
+	reader.mirror.Read(t.Context())
+	s.put("t/0", "y")
+	other.mirror.Read(t.Context())
+	s.afterPage = func() { s.remove("t/4") }
+	reader.mirror.Read(t.Context())
+	s.afterPage = nil
+	require.True(t, reader.mirror.Read(t.Context()))
+	reader.copyTo(t, other)
+	require.Equal(t, []string{"t/0", "t/1", "t/2", "t/3"}, other.keys())
+}
+
+// Guards against an entry VM that takes its copy for fresh because another one read the
+// same revision, although its own copy shows a part of later changes.
+func TestCopyReadDuringChangeIsReadAgain(t *testing.T) {
+	t.Parallel()
+	s := newStore(5)
+	f := newFixture(s, 0)
+	s.afterPage = func() { s.put("t/9", "x") }
+	f.mirror.Read(t.Context())
+	s.afterPage = nil
+	s.remove("t/9")
+	revision, _ := f.mirror.Revision()
+	f.clock.Advance(600 * time.Millisecond)
+	f.mirror.ObserveRevision(revision, option.Some(time.Duration(0)))
+	require.True(t, f.mirror.Due(0, 0))
+	f.mirror.Read(t.Context())
+	require.Len(t, f.keys(), 5)
+}
+
 // Guards against servers that are dropped because their entries expired during an
 // outage of the store. Expired entries must be kept for DeletionGrace, then dropped if
 // they were not written again.
@@ -265,8 +342,7 @@
 	s.put("t/1", "y")
 	back.mirror.Read(t.Context())
 	require.Len(t, back.keys(), 3)
-	base, _ := inTouch.mirror.Revision()
-	require.True(t, inTouch.mirror.ApplyDelta(base, back.mirror.ChangesSince(base)))
+	back.copyTo(t, inTouch)
 	require.Equal(t, []string{"t/1", "t/2"}, inTouch.keys())
 }
 
@@ -298,14 +374,13 @@
 	reader, copier := newFixture(s, 2*time.Second), newFixture(s, 2*time.Second)
 	reader.mirror.Read(t.Context())
 	reader.clock.Advance(2 * time.Second)
-	require.True(t, copier.mirror.ApplyDelta(0, reader.mirror.ChangesSince(0)))
+	reader.copyTo(t, copier)
 	reader.clock.Advance(1500 * time.Millisecond)
 	copier.clock.Advance(1500 * time.Millisecond)
 	s.remove("t/0")
 	s.put("t/1", "y")
 	reader.mirror.Read(t.Context())
-	base, _ := copier.mirror.Revision()
-	require.True(t, copier.mirror.ApplyDelta(base, reader.mirror.ChangesSince(base)))
+	reader.copyTo(t, copier)
 	require.Len(t, reader.keys(), 3)
 	require.Len(t, copier.keys(), 3)
 	copier.clock.Advance(2 * time.Second)
@@ -324,7 +399,7 @@
 	s.remove("t/0")
 	other.mirror.Read(t.Context())
 	other.clock.Advance(500 * time.Millisecond)
-	require.True(t, started.mirror.ApplyDelta(0, other.mirror.ChangesSince(0)))
+	other.copyTo(t, started)
 	started.clock.Advance(time.Second)
 	s.put("t/1", "y")
 	require.True(t, started.mirror.Read(t.Context()))
@@ -341,7 +416,7 @@
 	s := newStore(3)
 	other, restarted := newFixture(s, 0), newFixture(s, 2*time.Second)
 	other.mirror.Read(t.Context())
-	require.True(t, restarted.mirror.ApplyDelta(0, other.mirror.ChangesSince(0)))
+	other.copyTo(t, restarted)
 	s.remove("t/0")
 	require.True(t, restarted.mirror.Read(t.Context()))
 	require.Equal(t, []string{"t/1", "t/2"}, restarted.keys())
@@ -354,7 +429,7 @@
 	s := newStore(1)
 	other, restarted := newFixture(s, 0), newFixture(s, 0)
 	other.mirror.Read(t.Context())
-	require.True(t, restarted.mirror.ApplyDelta(0, other.mirror.ChangesSince(0)))
+	other.copyTo(t, restarted)
 	require.False(t, restarted.mirror.Failing())
 }
 
@@ -367,7 +442,7 @@
 	a, b := newFixture(s, 0), newFixture(s, 0)
 	a.mirror.Read(t.Context())
 	base, _ := a.mirror.Revision()
-	b.mirror.ApplyDelta(0, a.mirror.ChangesSince(0))
+	b.mirror.ApplyDelta(a.mirror.ChangesSince(0))
 	report := func(from, to *fixture) {
 		age, ok := from.mirror.OwnReadAge()
 		reported := option.None[time.Duration]()
