Deliver ready answers behind a slow request when an entry VM stops

Cause: answers go out in the order of the requests. Stop waited for the connections until the end of the grace period and then ended the process, with the ready answers still behind the slow one.

A response that is being streamed goes on until the process ends.

--- a/internal/run/direct/entryvm.go
+++ b/internal/run/direct/entryvm.go
@@ -73,6 +73,9 @@
 
 	// ctx ends with the process.
 	ctx context.Context
+	// attemptsCtx ends when a stop breaks off the attempts in flight, by endAttempts.
+	attemptsCtx context.Context
+	endAttempts context.CancelFunc
 
 	// intent is the configuration in force, or nil before the first configuration.
 	intent atomic.Pointer[intent.Intent]
@@ -111,6 +114,7 @@
 		effectChans: map[steer.RequestID]chan steer.Effect{},
 		pool:        http1.NewPool(d.Names()),
 	}
+	p.attemptsCtx, p.endAttempts = context.WithCancel(ctx)
 	p.serverAddresses.Store(&map[string]string{})
 	// Until the first request, the entry VM is idle.
 	p.lastRequestAt.Store(int64(-idleAfter - 1))
--- a/internal/run/direct/serve.go
+++ b/internal/run/direct/serve.go
@@ -144,6 +144,8 @@
 func (r *activeRequest) attempt(send steer.Send) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), send.Deadline-r.clock.Now())
 	defer cancel()
+	detach := context.AfterFunc(r.attemptsCtx, cancel)
+	defer detach()
 	r.exchange.OnCallerLeft(cancel)
 	result := r.pool.Do(ctx, http1.Target{Instance: send.Server.ID, Address: send.Server.Address}, r.exchange.Request)
 	r.exchange.OnCallerLeft(nil)
@@ -157,6 +159,8 @@
 		return true
 	default:
 	}
+	// The end of a stop says nothing about the server, like the deadline.
+	result.TimedOut = result.TimedOut || result.Err != nil && r.attemptsCtx.Err() != nil
 	if result.Outcome == http1.Answered {
 		if r.lastResponse != nil && r.lastResponse.Rest != nil {
 			_ = r.lastResponse.Rest.Close()
@@ -170,6 +174,8 @@
 	r.apply(attemptEnded(r.eventTime(), r.id, result))
 	// The body of a streamed response is read under ctx, which ends when attempt returns.
 	if result.Response.Rest != nil {
+		detach()
+
 		return r.stream()
 	}
 
--- a/internal/run/direct/stop.go
+++ b/internal/run/direct/stop.go
@@ -14,6 +14,10 @@
 	// which Stop abandons the remaining requests.
 	minStopFraction = 0.4
 	maxStopFraction = 0.94
+	// answerFraction is the part of the grace period after which the attempts in flight end
+	// and their callers are told so. What is left until maxStopFraction is for writing these
+	// answers, and those that wait behind them on the same connections.
+	answerFraction = 0.9
 	// withdrawTimeout bounds the deletion of the announcement.
 	withdrawTimeout = time.Second
 	// stopPollInterval is the interval at which Stop checks whether it may return.
@@ -21,7 +25,8 @@
 )
 
 // Stop withdraws the entry VM, lets the requests in flight finish and returns when the
-// process may end, before GracePeriod is over.
+// process may end, before GracePeriod is over. It breaks off requests that take longer, in
+// time for the answers that wait behind them on their connections.
 func (p *Process) Stop(ctx context.Context) {
 	start := p.clock.Now()
 	p.stopping.Store(true)
@@ -37,10 +42,14 @@
 		}
 	})
 	p.reportNow()
+	answerBy := start + time.Duration(answerFraction*float64(gracePeriod))
 	p.listener.Drain()
 	earliestEnd := start + time.Duration(minStopFraction*float64(gracePeriod))
 	latestEnd := start + time.Duration(maxStopFraction*float64(gracePeriod))
 	for now := range p.clock.Subscribe(ctx, stopPollInterval) {
+		if now >= answerBy {
+			p.endAttempts()
+		}
 		if now >= latestEnd || now >= earliestEnd && p.listener.OpenConnections() == 0 {
 			break
 		}
--- /dev/null
+++ b/internal/run/direct/stop_test.go
@@ -0,0 +1,93 @@
+package direct_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// stopGrace is the grace period of these tests; it is shorter than the route's timeout.
+const stopGrace = 2 * time.Second
+
+// stopping starts the planned stop of an entry VM, waits until the stop has begun, and
+// returns a channel that is closed when the process may end. The process ends then.
+func stopping(t *testing.T, e *runningEntryVM) <-chan struct{} {
+	t.Helper()
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		e.Stop(context.Background())
+		e.end()
+	}()
+	require.Eventually(t, func() bool { return e.logs.FilterMessage("stop requested").Len() > 0 }, waitTimeout, time.Millisecond)
+
+	return stopped
+}
+
+// connect opens a connection to an entry VM and sends text.
+func connect(t *testing.T, e *runningEntryVM, text string) (net.Conn, *bufio.Reader) {
+	t.Helper()
+	c, err := net.Dial("tcp", e.address)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	require.NoError(t, c.SetDeadline(time.Now().Add(waitTimeout)))
+	_, err = io.WriteString(c, text)
+	require.NoError(t, err)
+
+	return c, bufio.NewReader(c)
+}
+
+// readBody reads a response and returns it with its body.
+func readBody(t *testing.T, in *bufio.Reader) (*http.Response, string) {
+	t.Helper()
+	resp, err := http.ReadResponse(in, nil)
+	require.NoError(t, err)
+	body, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	require.NoError(t, resp.Body.Close())
+
+	return resp, string(body)
+}
+
+// Guards against a planned stop that drops a response which is ready and waits behind a
+// request that takes longer than the grace period.
+func TestStopDeliversResponsesBehindSlowRequest(t *testing.T) {
+	t.Parallel()
+	begun := make(chan string, 2)
+	s := newServer(t, func(w http.ResponseWriter, r *http.Request) {
+		begun <- r.URL.Path
+		if r.URL.Path == "/read/slow" {
+			<-r.Context().Done()
+
+			return
+		}
+		ok(w, r)
+	})
+	d := newDeployment(s.listed("server", "z1"))
+	// Only the stop can end the slow request while the test waits.
+	d.routeTimeout = 2 * waitTimeout
+	e := startEntryVM(t, d, "127.0.0.41", stopGrace)
+	waitUntilReady(t, e)
+	get := func(id string) string {
+		return "GET /read/" + id + " HTTP/1.1\r\nHost: a.example\r\nRequest-Id: " + id + "\r\n\r\n"
+	}
+	_, in := connect(t, e, get("slow")+get("quick"))
+	<-begun
+	<-begun
+	// The quick response is in the entry VM's memory when its attempt has ended.
+	require.Eventually(t, func() bool { return e.logs.FilterMessage("request ended").Len() > 0 }, waitTimeout, time.Millisecond)
+	stopped := stopping(t, e)
+	resp, _ := readBody(t, in)
+	require.Equal(t, http.StatusGatewayTimeout, resp.StatusCode)
+	resp, body := readBody(t, in)
+	require.Equal(t, http.StatusOK, resp.StatusCode)
+	require.Equal(t, "quick", resp.Header.Get(names.RequestID))
+	require.Equal(t, "whole", body)
+	<-stopped
+}
