Refuse a stated length that overflows the count of body memory

Callers saw (possible, found by the review by reading): while another body is held and no configuration limits bodies, a Content-Length near 2^63 ends the process.

Cause: the sum of the reserved bytes overflowed to a negative number, which is below the limit, and the buffer of that length can't be made.

Change: a length above the limit is refused before it is added.

Evidence: TestBodiesThatDoNotFitAreRefused with a Content-Length of 2^63-1 panics on the last commit ("makeslice: cap out of range") and passes now.

--- a/internal/wire/http1/body.go
+++ b/internal/wire/http1/body.go
@@ -29,6 +29,10 @@
 
 // reserve takes n bytes; it returns false, without taking any, if they are not free.
 func (m *bodyMemory) reserve(n int64) bool {
+	// A stated length may be so long that the sum would overflow.
+	if n > m.limit {
+		return false
+	}
 	if m.used.Add(n) <= m.limit {
 		return true
 	}
--- a/internal/wire/http1/listener_test.go
+++ b/internal/wire/http1/listener_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strings"
@@ -216,6 +217,8 @@
 		post("Transfer-Encoding: chunked", fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", size, body)),
 		// The body never comes: the refusal does not wait for it.
 		post(fmt.Sprintf("Content-Length: %d", 1<<40), ""),
+		// The sum of the lengths is greater than an int64 holds.
+		post(fmt.Sprintf("Content-Length: %d", math.MaxInt64), ""),
 	} {
 		status, _, closes := readResponse(t, bufio.NewReader(c))
 		require.Equal(t, 503, status)
