Read the time of a dial before the connection goes back to the pool

Cause: Pool.Do read a field of the connection after roundTrip had released it, when another attempt may already have taken it and set the field to 0 (found by the review with the race detector). It could falsify a measured round trip, nothing else.

Change: the field is read before roundTrip.

--- a/internal/wire/http1/attempt.go
+++ b/internal/wire/http1/attempt.go
@@ -74,8 +74,10 @@
 		return Result{Outcome: NotSent, Err: err, TimedOut: ctx.Err() != nil}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.raw.SetDeadline(time.Unix(1, 0)) })
+	// Once the connection is back in the pool, another attempt may use it.
+	dialTook := c.dialTook
 	result := p.roundTrip(ctx, c, r, stop)
-	result.DialTook = c.dialTook
+	result.DialTook = dialTook
 	if result.Err != nil {
 		stop()
 		_ = c.raw.Close()
--- a/internal/wire/http1/pool_test.go
+++ b/internal/wire/http1/pool_test.go
@@ -7,9 +7,12 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"sync"
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/greengagetally/greengagetally/internal/wire/http1"
@@ -215,3 +218,24 @@
 	require.False(t, result.TimedOut)
 	<-ended
 }
+
+// Guards against a read of a connection's fields after the connection went back to the
+// pool, where another attempt may change them. Only the race detector sees it.
+func TestConcurrentAttemptsShareConnections(t *testing.T) {
+	t.Parallel()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+	}))
+	t.Cleanup(server.Close)
+	p := http1.NewPool(testNames)
+	var attempts sync.WaitGroup
+	for i := range 8 {
+		attempts.Go(func() {
+			for k := range 100 {
+				result := p.Do(t.Context(), http1.Target{Instance: "i", Address: server.Listener.Addr().String()}, request(fmt.Sprint(i, "-", k)))
+				assert.Equal(t, http1.Answered, result.Outcome)
+			}
+		})
+	}
+	attempts.Wait()
+}
