Write an announcement again that is missing from the store's list

Cause: a late deletion or write by the last process, under its old lease, removes or replaces the announcement of the running one. The renewals of the new lease still succeed, so Announce did not return.

Change: an entry VM that is missing from its own copy of the list for a few reads of the table announces itself again. This needs no call of the store.

--- a/internal/run/direct/entryvm.go
+++ b/internal/run/direct/entryvm.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"net/netip"
 	"sync"
@@ -354,24 +353,3 @@
 	}
 	p.apply(ended)
 }
-
-// announcePause is the mean pause between two attempts to announce this entry VM.
-const announcePause = 300 * time.Millisecond
-
-// announce keeps this entry VM announced in the store until ctx ends or a stop is
-// requested.
-func (p *Process) announce(ctx context.Context) {
-	for ctx.Err() == nil && !p.stopping.Load() {
-		err := p.deployment.Announce(ctx, p.self)
-		if ctx.Err() != nil || p.stopping.Load() {
-			return
-		}
-		p.log.Warn("announcement in the store was lost, writing it again", zap.Error(err))
-		retryTimer := time.NewTimer(time.Duration(float64(announcePause) * (0.5 + rand.Float64()))) //nolint:gosec // Spreads retries.
-		select {
-		case <-retryTimer.C:
-		case <-ctx.Done():
-			retryTimer.Stop()
-		}
-	}
-}
--- a/internal/run/direct/entryvm_test.go
+++ b/internal/run/direct/entryvm_test.go
@@ -374,6 +374,24 @@
 	require.Equal(t, before, evacuated.runs.Load(), "a server in an evacuated zone got a request")
 }
 
+// Guards against an entry VM that others do not know, because the store executed a late
+// write or deletion of its last process after the announcement of the running one.
+func TestRemovedAnnouncementIsWrittenAgain(t *testing.T) {
+	t.Parallel()
+	d := newDeployment()
+	e := startEntryVM(t, d, "127.0.0.61", time.Second)
+	waitUntilReady(t, e)
+	listed := func() bool {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+
+		return len(d.entryVMs) > 0
+	}
+	require.Eventually(t, listed, waitTimeout, 20*time.Millisecond)
+	d.change(direct.TableEntryVMs, func() { d.entryVMs = nil })
+	require.Eventually(t, listed, waitTimeout, 20*time.Millisecond)
+}
+
 // Guards against three faults after a failed attempt: a request that must not be
 // repeated runs twice, a request that may have run is refused as not run, and a request
 // that may be repeated is not sent to another server.
--- a/internal/run/direct/peers.go
+++ b/internal/run/direct/peers.go
@@ -127,6 +127,8 @@
 	// idleForwardedAt is when a digest of another region was last forwarded to the idle
 	// entry VMs, by region.
 	idleForwardedAt map[string]time.Duration
+	// selfListed is true while the store's list has this entry VM.
+	selfListed bool
 	// copying is true for tables that are being copied from a peer.
 	copying map[string]bool
 }
@@ -180,6 +182,7 @@
 	now := p.clock.Now()
 	p.peers.mu.Lock()
 	names := p.peers.update(now, p.self, entryVMs)
+	p.peers.selfListed = slices.ContainsFunc(entryVMs, func(vm EntryVM) bool { return vm.Name == p.self.Name })
 	strengths := map[string]int{p.self.Name: p.self.Strength}
 	ips := make([]netip.Addr, 0, len(names))
 	for _, other := range p.peers.byName {
