Bound the memory of all responses together

Callers saw (possible, another operator reported it): a server in trouble sends responses without end, many at once. Each response was bounded, 64 KB of header and 256 KB of body, but not their sum, so the process could exceed its memory and end with all requests on it.

Cause: no budget for responses, only one for the bodies of requests. Short header fields take many times their length once they are parsed.

A body for which there is none is streamed to the caller as a longer one is; a head of over 4 KB or 64 lines for which there is none fails the attempt as one that may have run. A head has at most 256 lines. The first 4 KB of a body need no reservation, so short responses stay whole.

Trailers, chunk headers and interim responses without end were bounded before (testdata/endless).

--- a/internal/run/direct/entryvm.go
+++ b/internal/run/direct/entryvm.go
@@ -111,7 +111,7 @@
 		ctx:         ctx,
 		state:       steer.New(settings.Steering),
 		effectChans: map[steer.RequestID]chan steer.Effect{},
-		pool:        http1.NewPool(d.Names()),
+		pool:        http1.NewPool(d.Names(), settings.MaxBufferedResponseBytes),
 	}
 	p.attemptsCtx, p.endAttempts = context.WithCancel(ctx)
 	p.serverAddresses.Store(&map[string]string{})
--- a/internal/run/direct/serve.go
+++ b/internal/run/direct/serve.go
@@ -40,8 +40,10 @@
 	// all such decisions for the request.
 	lastSend steer.Send
 	attempts int
-	// lastResponse is the newest complete response of a server.
+	// lastResponse is the newest complete response of a server. results are the results of
+	// all attempts, whose memory is released when the request has ended.
 	lastResponse *http1.Response
+	results      []http1.Result
 }
 
 // Serve implements http1.Handler. It returns when the request is answered or its caller
@@ -83,6 +85,9 @@
 	})
 	p.mu.Unlock()
 	r.run()
+	for _, result := range r.results {
+		result.Release()
+	}
 	p.mu.Lock()
 	delete(p.effectChans, r.id)
 	p.mu.Unlock()
@@ -149,6 +154,7 @@
 	r.exchange.OnCallerLeft(cancel)
 	result := r.pool.Do(ctx, http1.Target{Instance: send.Server.ID, Address: send.Server.Address}, r.exchange.Request)
 	r.exchange.OnCallerLeft(nil)
+	r.results = append(r.results, result)
 	select {
 	case <-r.exchange.CallerLeft():
 		if result.Response.Rest != nil {
--- a/internal/run/direct/settings.go
+++ b/internal/run/direct/settings.go
@@ -46,6 +46,9 @@
 	FirstStart bool
 	// MaxBufferedBodyBytes bounds the sum of the request bodies held in memory.
 	MaxBufferedBodyBytes int64
+	// MaxBufferedResponseBytes bounds the sum of the long heads and bodies of responses held
+	// in memory.
+	MaxBufferedResponseBytes int64
 }
 
 // EntryVM is an entry VM as it is announced in the store.
--- a/internal/value/table/table.go
+++ b/internal/value/table/table.go
@@ -6,7 +6,10 @@
 // all changes up to Revision are in it, and none after Newest.
 package table
 
-import "maps"
+import (
+	"maps"
+	"slices"
+)
 
 // Item is one key of the store with its value.
 type Item struct {
@@ -116,7 +119,7 @@
 			s.deleted = append(s.deleted, key)
 		}
 	}
-	next.steps = append(c.steps[:len(c.steps):len(c.steps)], s)
+	next.steps = slices.Concat(c.steps, []step{s})
 	next.forgetOldest()
 
 	return next
--- a/internal/wire/http1/attempt.go
+++ b/internal/wire/http1/attempt.go
@@ -53,11 +53,21 @@
 	DialTook time.Duration
 	// Err is why there is no complete response, or nil.
 	Err error
+
+	held *reservation
+}
+
+// Release gives back the memory of the response, which must not be used any more.
+func (r Result) Release() {
+	if r.held != nil {
+		r.held.release()
+	}
 }
 
 const (
 	// maxBufferedResponse is the size in bytes of the longest body that is read
-	// completely before the caller gets its first byte. A longer body is streamed.
+	// completely before the caller gets its first byte. A longer body is streamed, and so
+	// is one for which there is no memory.
 	maxBufferedResponse = 256 << 10
 	// maxInlineBody is the size in bytes of the longest request body that is written before
 	// the response is read.
@@ -66,7 +76,8 @@
 
 // Do sends a request to a server and reads its response. It never sends a request twice.
 // It fails when ctx ends. The caller must close Response.Rest; reading from it fails when
-// ctx ends, too.
+// ctx ends, too. The caller must also call Result.Release when it no longer needs the
+// response.
 func (p *Pool) Do(ctx context.Context, to Target, r *Request) Result {
 	// A late response to another request cannot be told apart without an identifier.
 	c, err := p.get(ctx, to, r.ID != "")
@@ -76,9 +87,11 @@
 	stop := context.AfterFunc(ctx, func() { _ = c.raw.SetDeadline(time.Unix(1, 0)) })
 	// Once the connection is back in the pool, another attempt may use it.
 	dialTook := c.dialTook
-	result := p.roundTrip(ctx, c, r, stop)
-	result.DialTook = dialTook
+	held := p.memory.hold()
+	result := p.roundTrip(ctx, c, r, stop, held)
+	result.DialTook, result.held = dialTook, held
 	if result.Err != nil {
+		held.release()
 		stop()
 		_ = c.raw.Close()
 		result.TimedOut = errors.Is(ctx.Err(), context.DeadlineExceeded)
@@ -94,7 +107,7 @@
 // connection back to the pool, unless the rest of the response is streamed. The function
 // stop prevents the end of ctx from interrupting the connection; it returns false when
 // ctx has already ended.
-func (p *Pool) roundTrip(ctx context.Context, c *serverConn, r *Request, stop func() bool) Result {
+func (p *Pool) roundTrip(ctx context.Context, c *serverConn, r *Request, stop func() bool, held *reservation) Result {
 	written, err := c.sendRequest(p.encodeHeader(ctx, c.target, r), r.Body)
 	if err != nil {
 		outcome := Unknown
@@ -104,19 +117,23 @@
 
 		return Result{Outcome: outcome, Err: fmt.Errorf("send to backend server: %w", err)}
 	}
-	resp, err := p.readResponse(c, r) //nolint:bodyclose // The body is read to its end, or closed as Rest.
+	resp, err := p.readResponse(c, r, held) //nolint:bodyclose // The body is read to its end, or closed as Rest.
 	if err != nil {
 		return Result{Outcome: Unknown, Err: err}
 	}
 	result := p.parseResult(resp)
 	result.Response = Response{Status: resp.StatusCode, Header: endToEndHeader(resp.Header), Length: resp.ContentLength}
 	mustClose := resp.Close || r.ID == ""
-	buffered, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedResponse+1))
+	length := resp.ContentLength
+	if r.Method == http.MethodHead {
+		length = 0
+	}
+	buffered, whole, err := held.readBody(resp.Body, length)
 	if err != nil {
 		return Result{Outcome: Unknown, Load: result.Load, Err: fmt.Errorf("read response: %w", err)}
 	}
 	result.Response.Body = buffered
-	if len(buffered) > maxBufferedResponse {
+	if !whole {
 		result.Response.Rest = &streamedBody{body: resp.Body, conn: c, stop: stop}
 
 		return result
--- a/internal/wire/http1/body.go
+++ b/internal/wire/http1/body.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"sync/atomic"
 	"time"
 )
 
@@ -21,30 +20,6 @@
 // bodies.
 var errNoBodyMemory = errors.New("no memory for the body of the request")
 
-// bodyMemory bounds the bytes of all request bodies in memory.
-type bodyMemory struct {
-	limit int64
-	used  atomic.Int64
-}
-
-// reserve takes n bytes; it returns false, without taking any, if they are not free.
-func (m *bodyMemory) reserve(n int64) bool {
-	// A stated length may be so long that the sum would overflow.
-	if n > m.limit {
-		return false
-	}
-	if m.used.Add(n) <= m.limit {
-		return true
-	}
-	m.used.Add(-n)
-
-	return false
-}
-
-func (m *bodyMemory) release(n int64) {
-	m.used.Add(-n)
-}
-
 // readBody returns the whole body, for which cap(body) bytes of memory are reserved. If
 // the request must be refused, it returns the HTTP status of the refusal instead;
 // otherwise the status is 0. Without enough memory it fails with errNoBodyMemory; a body
--- a/internal/wire/http1/endless_test.go
+++ b/internal/wire/http1/endless_test.go
@@ -68,7 +68,7 @@
 		address, closedEarly := startEndlessServer(t, unescape.Replace(d.Input), unescape.Replace(piece))
 		ctx, cancel := context.WithTimeout(t.Context(), attemptTime)
 		defer cancel()
-		target, p := http1.Target{Instance: "i", Address: address}, http1.NewPool(testNames)
+		target, p := http1.Target{Instance: "i", Address: address}, http1.NewPool(testNames, testResponseMemory)
 		var out string
 		if d.Cmd == "probe" {
 			_, err := p.Probe(ctx, target, "/health")
@@ -94,7 +94,7 @@
 	t.Parallel()
 	const late = "HTTP/1.1 503 No\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
 	address, _ := startScriptedServer(t, []string{okResponse, late + okResponse})
-	p := http1.NewPool(testNames)
+	p := http1.NewPool(testNames, testResponseMemory)
 	require.Equal(t, http1.Answered, do(t, p, address, "1").Outcome)
 	result := do(t, p, address, "2")
 	require.Equal(t, http1.Answered, result.Outcome, "%v", result.Err)
@@ -107,7 +107,7 @@
 	t.Parallel()
 	const noID = "HTTP/1.1 400 No\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
 	address, _ := startScriptedServer(t, []string{okResponse}, []string{noID}, []string{noID})
-	p := http1.NewPool(testNames)
+	p := http1.NewPool(testNames, testResponseMemory)
 	require.Equal(t, http1.Answered, do(t, p, address, "1").Outcome)
 	require.Equal(t, http1.NotRun, do(t, p, address, "").Outcome)
 	require.Equal(t, http1.NotRun, do(t, p, address, "").Outcome)
@@ -122,7 +122,7 @@
 	address, _ := startScriptedServer(t, []string{
 		fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: other\r\nContent-Length: %d\r\n\r\n%s", len(body)+1000, body) + okResponse,
 	})
-	require.Equal(t, http1.Unknown, do(t, http1.NewPool(testNames), address, "1").Outcome)
+	require.Equal(t, http1.Unknown, do(t, http1.NewPool(testNames, testResponseMemory), address, "1").Outcome)
 }
 
 // Guards against responses of a leaving server, and requests for a pause, that are not
@@ -134,7 +134,7 @@
 		"HTTP/1.1 503 No\r\nRequest-Id: %s\r\nNot-Run: 1\r\nRetry-After: 1.5\r\nContent-Length: 0\r\n\r\n",
 		"HTTP/1.1 421 No\r\nRequest-Id: %s\r\nLeaving: 1\r\nContent-Length: 0\r\n\r\n",
 	})
-	p := http1.NewPool(testNames)
+	p := http1.NewPool(testNames, testResponseMemory)
 	result := do(t, p, address, "1")
 	require.True(t, result.Leaving)
 	require.Equal(t, time.Duration(0), result.PauseFor.Or(0))
--- a/internal/wire/http1/listener.go
+++ b/internal/wire/http1/listener.go
@@ -33,7 +33,7 @@
 	// limits returns the limits in force.
 	limits func() RequestLimits
 	// bodies is the memory for the bodies of requests that are read and not yet answered.
-	bodies bodyMemory
+	bodies memory
 
 	// mu guards conns and draining.
 	mu       sync.Mutex
@@ -57,7 +57,7 @@
 	}
 
 	return &Listener{
-		names: names, handler: handler, limits: withDefaults, bodies: bodyMemory{limit: maxBodyMemory}, conns: map[*callerConn]struct{}{},
+		names: names, handler: handler, limits: withDefaults, bodies: memory{limit: maxBodyMemory}, conns: map[*callerConn]struct{}{},
 	}
 }
 
--- a/internal/wire/http1/listener_test.go
+++ b/internal/wire/http1/listener_test.go
@@ -24,6 +24,9 @@
 // testBodyMemory is the memory for bodies of a listener, in bytes.
 const testBodyMemory = 4 << 20
 
+// testResponseMemory is the memory for responses of a pool, in bytes.
+const testResponseMemory = 4 << 20
+
 var testNames = http1.Names{
 	RequestID: "Request-Id", Deadline: "Deadline-Ms", ObjectCookie: "object", ExpectInstance: "Expect-Instance",
 	NotRun: "Not-Run", Leaving: "Leaving", Load: "Load", Instance: "Instance", ColdMillis: "Cold-Ms",
--- a/internal/wire/http1/pool.go
+++ b/internal/wire/http1/pool.go
@@ -51,6 +51,8 @@
 type Pool struct {
 	names  Names
 	dialer net.Dialer
+	// memory is the memory for long heads and bodies of responses, until Result.Release.
+	memory memory
 
 	// mu guards the fields below.
 	mu   sync.Mutex
@@ -59,10 +61,11 @@
 	opened uint64
 }
 
-// NewPool returns a pool without connections.
-func NewPool(names Names) *Pool {
+// NewPool returns a pool without connections. The responses that are not released take at
+// most maxResponseMemory bytes, apart from the first few kilobytes of each.
+func NewPool(names Names, maxResponseMemory int64) *Pool {
 	return &Pool{
-		names: names,
+		names: names, memory: memory{limit: maxResponseMemory},
 		dialer: net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: tcpKeepAliveIdle, Interval: tcpKeepAliveInterval, Count: tcpKeepAliveCount,
 		}},
@@ -72,10 +75,10 @@
 
 // serverConn is a connection to a backend server; it carries one request at a time.
 type serverConn struct {
-	raw     net.Conn
-	limited *limitedReader
-	reader  *bufio.Reader
-	target  Target
+	raw    net.Conn
+	head   *headReader
+	reader *bufio.Reader
+	target Target
 	// usableUntil is when an idle connection gets too old to be reused.
 	usableUntil time.Time
 	reused      bool
@@ -85,9 +88,9 @@
 }
 
 func newServerConn(raw net.Conn, to Target) *serverConn {
-	limited := &limitedReader{source: raw, remaining: -1}
+	head := &headReader{source: raw}
 
-	return &serverConn{raw: raw, limited: limited, reader: bufio.NewReaderSize(limited, responseBufferSize), target: to}
+	return &serverConn{raw: raw, head: head, reader: bufio.NewReaderSize(head, responseBufferSize), target: to}
 }
 
 // get returns an idle connection that can be reused, or opens one. If mayReuse is false,
--- a/internal/wire/http1/response.go
+++ b/internal/wire/http1/response.go
@@ -17,8 +17,16 @@
 // Bounds on what a backend server may send. A server in trouble may send bytes without
 // end. Reading beyond a bound fails, which closes the connection.
 const (
-	// maxResponseHead is the size in bytes of the longest status line and header together.
-	maxResponseHead = 64 << 10
+	// maxResponseHead is the size in bytes of the longest status line and header together,
+	// maxResponseLines the greatest number of their lines. A parsed field takes far more
+	// memory than the shortest line.
+	maxResponseHead  = 64 << 10
+	maxResponseLines = 256
+	// usualResponseHead and usualResponseLines bound the heads that are read without a
+	// reservation of memory. longHeadMemory is what is reserved for a longer one.
+	usualResponseHead  = 4 << 10
+	usualResponseLines = 64
+	longHeadMemory     = maxResponseHead + maxResponseLines<<8
 	// maxResponsesRead is how many responses an attempt reads to find the response to its
 	// own request. Interim responses and responses to other requests are skipped.
 	maxResponsesRead = 3
@@ -31,10 +39,10 @@
 
 // readHead reads the status line and the header of a response. Reading its body is not
 // limited; net/http bounds the chunk headers and the trailer of a chunked body itself.
-func (c *serverConn) readHead(r *http.Request) (*http.Response, error) {
-	c.limited.remaining = maxResponseHead
+func (c *serverConn) readHead(r *http.Request, held *reservation) (*http.Response, error) {
+	c.head.begin(func() bool { return held.takeOnce(longHeadMemory) })
 	resp, err := http.ReadResponse(c.reader, r)
-	c.limited.remaining = -1
+	c.head.end()
 
 	return resp, err //nolint:wrapcheck // The callers add the context.
 }
@@ -52,9 +60,9 @@
 // identifier, which are left over from earlier requests. A response without an identifier
 // counts only on a new connection, where no other response can be due, and only with the
 // header Names.NotRun.
-func (p *Pool) readResponse(c *serverConn, r *Request) (*http.Response, error) {
+func (p *Pool) readResponse(c *serverConn, r *Request, held *reservation) (*http.Response, error) {
 	for range maxResponsesRead {
-		resp, err := c.readHead(&http.Request{Method: r.Method})
+		resp, err := c.readHead(&http.Request{Method: r.Method}, held)
 		if err != nil {
 			return nil, fmt.Errorf("read response: %w", err)
 		}
@@ -163,11 +171,13 @@
 	stop := context.AfterFunc(ctx, func() { _ = raw.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
 	c := newServerConn(raw, to)
+	held := p.memory.hold()
+	defer held.release()
 	if _, err := fmt.Fprintf(raw, "GET %s HTTP/1.1\r\nHost: %s\r\nConnection: close\r\n\r\n", path, to.Address); err != nil {
 		return Health{}, fmt.Errorf("send probe: %w", err)
 	}
 	// The body is not closed, because that would read it to its end.
-	resp, err := c.readHead(nil) //nolint:bodyclose // The connection is closed instead.
+	resp, err := c.readHead(nil, held) //nolint:bodyclose // The connection is closed instead.
 	if err != nil {
 		return Health{}, fmt.Errorf("read response of health path: %w", err)
 	}
--- a/internal/wire/http1/response_test.go
+++ b/internal/wire/http1/response_test.go
@@ -37,7 +37,7 @@
 	for _, value := range []string{"3,1,6,150", "9000000000000000000,1,1,9000000000000000000", "Inf", "1e300", "-1", "timeout=9223372036854775807", "99999999999999999999"} {
 		f.Add(value)
 	}
-	p := NewPool(Names{Load: "Load", ColdMillis: "Cold"})
+	p := NewPool(Names{Load: "Load", ColdMillis: "Cold"}, 0)
 	f.Fuzz(func(t *testing.T, value string) {
 		h := http.Header{"Load": {value}, "Cold": {value}, "Retry-After": {value}, "Keep-Alive": {value}}
 		result := p.parseResult(&http.Response{StatusCode: http.StatusServiceUnavailable, Header: h})
