Test that a repeated refusal is not taken for the next request's answer

Another operator reported that a server wrote an earlier refusal once more on a kept connection. It does not happen here: a response counts only with the identifier of the request, and one without an identifier only on a new connection.

TestRepeatedRefusalIsNotUsed plays the copy before, after and in place of the next response, more than once, without end and without its identifier.

--- a/internal/wire/http1/pool_test.go
+++ b/internal/wire/http1/pool_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -100,7 +101,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
 			address := startOneResponseServer(t, c.response)
-			result := do(t, http1.NewPool(testNames), address, "1")
+			result := do(t, http1.NewPool(testNames, testResponseMemory), address, "1")
 			require.Equal(t, c.outcome, result.Outcome, "%v", result.Err)
 			require.Equal(t, c.body, string(result.Response.Body))
 		})
@@ -141,7 +142,7 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	require.NoError(t, l.Close())
-	require.Equal(t, http1.NotSent, do(t, http1.NewPool(testNames), l.Addr().String(), "1").Outcome)
+	require.Equal(t, http1.NotSent, do(t, http1.NewPool(testNames, testResponseMemory), l.Addr().String(), "1").Outcome)
 }
 
 // Guards against a new connection for every request, and against requests that arrive
@@ -149,7 +150,7 @@
 func TestConnectionIsUsedAgain(t *testing.T) {
 	t.Parallel()
 	address, received := startScriptedServer(t, []string{okResponse, okResponse})
-	p := http1.NewPool(testNames)
+	p := http1.NewPool(testNames, testResponseMemory)
 	for _, id := range []string{"1", "2"} {
 		result := do(t, p, address, id)
 		require.Equal(t, http1.Answered, result.Outcome, "%v", result.Err)
@@ -179,7 +180,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
 			address, _ := startScriptedServer(t, c.first, []string{okResponse})
-			p := http1.NewPool(testNames)
+			p := http1.NewPool(testNames, testResponseMemory)
 			for _, id := range []string{"1", "2"} {
 				result := do(t, p, address, id)
 				require.Equal(t, http1.Answered, result.Outcome, "%v", result.Err)
@@ -213,7 +214,7 @@
 		cancel()
 		_, _ = io.Copy(io.Discard, c)
 	}()
-	result := http1.NewPool(testNames).Do(ctx, http1.Target{Instance: "i", Address: l.Addr().String()}, request("1"))
+	result := http1.NewPool(testNames, testResponseMemory).Do(ctx, http1.Target{Instance: "i", Address: l.Addr().String()}, request("1"))
 	require.Equal(t, http1.Unknown, result.Outcome)
 	require.False(t, result.TimedOut)
 	<-ended
@@ -227,7 +228,7 @@
 		w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
 	}))
 	t.Cleanup(server.Close)
-	p := http1.NewPool(testNames)
+	p := http1.NewPool(testNames, testResponseMemory)
 	var attempts sync.WaitGroup
 	for i := range 8 {
 		attempts.Go(func() {
@@ -239,3 +240,33 @@
 	}
 	attempts.Wait()
 }
+
+// Guards against a server that writes an earlier refusal once more on a kept connection: the
+// next request must not count as not run, nor may it run at a second server.
+func TestRepeatedRefusalIsNotUsed(t *testing.T) {
+	t.Parallel()
+	const refusal = "HTTP/1.1 503 No\r\nRequest-Id: %s\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+	repeated := strings.ReplaceAll(refusal, "%s", "1")
+	for _, c := range []struct {
+		name, response string
+		outcome        http1.Outcome
+	}{
+		{"before the response", repeated + okResponse, http1.Answered},
+		{"after the response", okResponse + repeated, http1.Answered},
+		{"twice before the response", repeated + repeated + okResponse, http1.Answered},
+		{"without end", strings.Repeat(repeated, 10), http1.Unknown},
+		{"in place of the response", repeated + "%.0s", http1.Unknown},
+		{"without its identifier", strings.ReplaceAll(refusal, "Request-Id: %s\r\n", "") + okResponse, http1.Answered},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			address, _ := startScriptedServer(t, []string{refusal, c.response, okResponse}, []string{okResponse})
+			p := http1.NewPool(testNames, testResponseMemory)
+			require.Equal(t, http1.NotRun, do(t, p, address, "1").Outcome)
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			defer cancel()
+			require.Equal(t, c.outcome, p.Do(ctx, http1.Target{Instance: "i", Address: address}, request("2")).Outcome)
+			require.Equal(t, http1.Answered, do(t, p, address, "3").Outcome)
+		})
+	}
+}
