Send 100 Continue only after the responses to earlier requests

Cause: the goroutine that reads requests wrote 100 Continue at once, while the response to an earlier request on the connection was being streamed. It also wrote it under the write deadline of the last response, which may have passed on a connection that was idle for long.

Change: while earlier responses are due, the last of them sends 100 Continue before the next exchange gets its turn, unless the body has come without it. The write has a deadline of its own.

--- a/internal/wire/http1/body.go
+++ b/internal/wire/http1/body.go
@@ -45,9 +45,10 @@
 		}
 	}()
 	if r.Header.Get("Expect") != "" {
-		if _, err := io.WriteString(c.raw, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
-			return body, 0, fmt.Errorf("send 100 Continue: %w", err)
+		if err := c.askForBody(); err != nil {
+			return body, 0, err
 		}
+		defer c.stopAskingForBody()
 	}
 	// The body may take as long as the caller needs to send it.
 	_ = c.raw.SetReadDeadline(time.Time{})
@@ -73,3 +74,34 @@
 		}
 	}
 }
+
+// askForBody sends 100 Continue to a caller that waits for it before it sends the body.
+// While responses to earlier requests are due, finish sends it after the last of them.
+func (c *callerConn) askForBody() error {
+	c.mu.Lock()
+	c.bodyAwaited = len(c.outstanding) > 0
+	deferred := c.bodyAwaited
+	c.mu.Unlock()
+	if deferred {
+		return nil
+	}
+
+	return c.writeContinue()
+}
+
+// stopAskingForBody ends what askForBody has begun: the body has arrived, or never will.
+func (c *callerConn) stopAskingForBody() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.bodyAwaited = false
+}
+
+// writeContinue writes 100 Continue. No response may be written meanwhile.
+func (c *callerConn) writeContinue() error {
+	_ = c.raw.SetWriteDeadline(time.Now().Add(writeTimeout)) //nolint:forbidigo // Deadlines of connections are wall-clock times.
+	if _, err := io.WriteString(c.raw, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
+		return fmt.Errorf("send 100 Continue: %w", err)
+	}
+
+	return nil
+}
--- a/internal/wire/http1/caller.go
+++ b/internal/wire/http1/caller.go
@@ -52,6 +52,9 @@
 	// outstanding are the exchanges whose responses are not complete, in the order of
 	// their requests.
 	outstanding []*Exchange
+	// bodyAwaited is true while the caller of the request that is being read waits for 100
+	// Continue, and earlier responses are due.
+	bodyAwaited bool
 	// broken is true when the caller has left, or a response was not written completely.
 	broken bool
 
@@ -311,6 +314,13 @@
 // is true, the response was not written completely and finish closes the connection.
 func (c *callerConn) finish(x *Exchange, broken bool) {
 	c.mu.Lock()
+	if c.bodyAwaited && !broken && len(c.outstanding) == 1 {
+		c.bodyAwaited = false
+		c.mu.Unlock()
+		// The next exchange can't respond before x is removed.
+		broken = c.writeContinue() != nil
+		c.mu.Lock()
+	}
 	index := slices.Index(c.outstanding, x)
 	c.outstanding = slices.Delete(c.outstanding, index, index+1)
 	if broken && !c.broken {
--- a/internal/wire/http1/listener_test.go
+++ b/internal/wire/http1/listener_test.go
@@ -279,3 +279,46 @@
 		require.Fail(t, "the caller's leaving was not noticed")
 	}
 }
+
+// Guards against 100 Continue in the middle of the response to an earlier request, and
+// against a caller that waits for it for ever.
+func TestContinueWaitsForEarlierResponses(t *testing.T) {
+	t.Parallel()
+	first, rest := strings.Repeat("a", 1000), strings.Repeat("b", 1000)
+	reading, writeRest := make(chan struct{}), make(chan struct{})
+	_, address := startListener(t, func(x *http1.Exchange) {
+		if x.ID == "long" {
+			in, out := io.Pipe()
+			go func() {
+				close(reading)
+				<-writeRest
+				_, _ = io.WriteString(out, rest)
+				_ = out.Close()
+			}()
+			x.Respond(http1.Response{Status: 200, Body: []byte(first), Rest: in, Length: int64(len(first + rest))})
+
+			return
+		}
+		x.Respond(http1.Response{Status: 200, Body: x.Body})
+	}, http1.RequestLimits{})
+	c := dial(t, address)
+	_, err := io.WriteString(c, get("/long")+"POST /2 HTTP/1.1\r\nHost: a\r\nRequest-Id: 2\r\nExpect: 100-continue\r\nContent-Length: 4\r\n\r\n")
+	require.NoError(t, err)
+	in := bufio.NewReader(c)
+	<-reading
+	// The header and the first part are written; what follows must be the rest.
+	_, err = in.Peek(len(first))
+	require.NoError(t, err)
+	time.Sleep(50 * time.Millisecond)
+	close(writeRest)
+	status, body, _ := readResponse(t, in)
+	require.Equal(t, 200, status)
+	require.Equal(t, first+rest, body)
+	status, _, _ = readResponse(t, in)
+	require.Equal(t, http.StatusContinue, status)
+	_, err = io.WriteString(c, "body")
+	require.NoError(t, err)
+	status, body, _ = readResponse(t, in)
+	require.Equal(t, 200, status)
+	require.Equal(t, "body", body)
+}
