Count a lost server once for the content that it was lost to

Cause: each broken connection counted as a server lost to the content of its request, so one server that ended with three requests for a page was enough for the refusal. Entry VMs reported the losses that they had learned from others too, each report with a new lifetime, so none forgot the content.

Change: losses are counted by incarnation of the server, over all entry VMs: reports name the servers instead of their number. Only own losses are reported, and for less long than they are remembered.

TestRequestsThatLoseServersAreRefused asks for the same as before of the new function.

--- a/internal/steer/direct/attempt.go
+++ b/internal/steer/direct/attempt.go
@@ -121,7 +121,7 @@
 	s.extendCold(srv, e.ColdFor)
 	s.recordNotice(srv, e.Leaving, e.PauseFor)
 	if e.Outcome == Unknown && !e.TimedOut {
-		s.suspects.recordLosses(s.now, r.fingerprint, s.suspects[r.fingerprint].losses+1)
+		s.suspects.recordLoss(s.now, r.fingerprint, srv.incarnation, true)
 	} else if e.Outcome == Answered {
 		s.suspects.clear(r.fingerprint)
 	}
--- a/internal/steer/direct/event.go
+++ b/internal/steer/direct/event.go
@@ -88,9 +88,9 @@
 	// Leaving holds the incarnations of servers that said in a response within the last
 	// leavingReportFor that they are leaving.
 	Leaving []Incarnation
-	// Suspects holds, by fingerprint, the number of servers lost in a row to requests with
-	// the same content. A server is lost when it breaks the connection during a request.
-	Suspects map[uint64]int
+	// Suspects holds, by fingerprint, the incarnations of servers lost in a row to requests
+	// with the same content. A server is lost when it breaks the connection during a request.
+	Suspects map[uint64][]Incarnation
 	// Demand is the number of slots that the first requests of the entry VM's callers
 	// need, by service. Requests that come back after a refusal are left out.
 	Demand map[string]float64
--- a/internal/steer/direct/limits_test.go
+++ b/internal/steer/direct/limits_test.go
@@ -155,7 +155,7 @@
 	s := suspects{}
 	for i := range lossesToRefuse {
 		require.False(t, s.refuses(0, 1))
-		s.recordLosses(0, 1, i+1)
+		s.recordLoss(0, 1, Incarnation(i), true)
 	}
 	require.True(t, s.refuses(0, 1))
 	require.False(t, s.refuses(0, 2))
@@ -164,6 +164,54 @@
 	require.False(t, s.refuses(0, 1), "a response clears the suspicion")
 }
 
+// Guards against the refusal of content because one server that ended had several requests
+// for it, at one entry VM or at several.
+func TestOneLostServerCountsOnce(t *testing.T) {
+	t.Parallel()
+	s, other := suspects{}, suspects{}
+	for range 2 * lossesToRefuse {
+		s.recordLoss(0, 1, 7, true)
+		s.recordLoss(0, 1, 8, true)
+		other.recordLoss(0, 1, 8, true)
+	}
+	for fingerprint, lost := range s.lossesToReport(0) {
+		for _, incarnation := range lost {
+			other.recordLoss(0, fingerprint, incarnation, false)
+		}
+	}
+	require.False(t, s.refuses(0, 1))
+	require.False(t, other.refuses(0, 1))
+	other.recordLoss(0, 1, 9, true)
+	require.True(t, other.refuses(0, 1), "losses at two entry VMs are counted together")
+}
+
+// Guards against content that is refused for ever because entry VMs learn it again from each
+// other: they must forget it suspectTTL after the last loss, or after the last report.
+func TestSuspicionEndsAmongEntryVMs(t *testing.T) {
+	t.Parallel()
+	const step = 100 * time.Millisecond
+	vms := []suspects{{}, {}, {}}
+	for i := range lossesToRefuse {
+		vms[0].recordLoss(0, 1, Incarnation(i), true)
+	}
+	now := time.Duration(0)
+	for ; now < suspectTTL+suspectReportFor; now += step {
+		for i, from := range vms {
+			for fingerprint, lost := range from.lossesToReport(now) {
+				for _, incarnation := range lost {
+					vms[(i+1)%len(vms)].recordLoss(now, fingerprint, incarnation, false)
+				}
+			}
+		}
+		for _, vm := range vms {
+			vm.removeExpired(now)
+		}
+	}
+	for _, vm := range vms {
+		require.False(t, vm.refuses(now, 1))
+	}
+}
+
 // Guards against a third of a region's requests moving to other regions in the first
 // seconds, and back once the region's servers know the objects.
 func TestFewRequestsLeaveTheirRegionWithoutAFault(t *testing.T) {
--- a/internal/steer/direct/notice_test.go
+++ b/internal/steer/direct/notice_test.go
@@ -28,6 +28,12 @@
 	runScripts(t, "testdata/stop")
 }
 
+// TestSuspects runs the scripts in testdata/suspect, about content that may crash servers.
+func TestSuspects(t *testing.T) {
+	t.Parallel()
+	runScripts(t, "testdata/suspect")
+}
+
 // runScripts runs each script of a folder with an entry VM of its own.
 func runScripts(t *testing.T, folder string) {
 	t.Helper()
@@ -72,8 +78,8 @@
 		f.now = argDuration(t, d, "at")
 	}
 	at := direct.At(f.now)
-	var id, status int
-	for name, v := range map[string]*int{"id": &id, "status": &status} {
+	var id, status, content int
+	for name, v := range map[string]*int{"id": &id, "status": &status, "content": &content} {
 		if d.HasArg(name) {
 			d.ScanArgs(t, name, v)
 		}
@@ -88,7 +94,7 @@
 	case "request":
 		f.route.Idempotent = d.HasArg("idempotent")
 
-		return f.apply(direct.RequestArrived{At: at, ID: direct.RequestID(id), Route: f.route, Deadline: f.now + 5*time.Second})
+		return f.apply(direct.RequestArrived{At: at, ID: direct.RequestID(id), Route: f.route, Deadline: f.now + 5*time.Second, Fingerprint: uint64(content)})
 	case "answered", "not-run":
 		outcome := map[string]direct.Outcome{"answered": direct.Answered, "not-run": direct.NotRun}[d.Cmd]
 
--- a/internal/steer/direct/report.go
+++ b/internal/steer/direct/report.go
@@ -7,7 +7,7 @@
 
 // Report returns what this entry VM tells the others.
 func (s State) Report() Report {
-	r := Report{InFlight: map[uint32]int{}, Suspects: s.suspects.lossesToReport(), Demand: map[string]float64{}, Region: s.settings.Region}
+	r := Report{InFlight: map[uint32]int{}, Suspects: s.suspects.lossesToReport(s.now), Demand: map[string]float64{}, Region: s.settings.Region}
 	for _, servers := range s.byService {
 		for _, srv := range servers {
 			if srv.ownPortions > 0 {
@@ -35,16 +35,14 @@
 
 // SumReports returns the sum of the reports of a region's entry VMs.
 func SumReports(region string, reports []Report) Report {
-	sum := Report{InFlight: map[uint32]int{}, Suspects: map[uint64]int{}, Demand: map[string]float64{}, Region: region}
+	sum := Report{InFlight: map[uint32]int{}, Suspects: map[uint64][]Incarnation{}, Demand: map[string]float64{}, Region: region}
 	for _, report := range reports {
 		for key, n := range report.InFlight {
 			sum.InFlight[key] += n
 		}
 		sum.Lost = append(sum.Lost, report.Lost...)
 		sum.Leaving = append(sum.Leaving, report.Leaving...)
-		for fingerprint, losses := range report.Suspects {
-			sum.Suspects[fingerprint] = max(sum.Suspects[fingerprint], losses)
-		}
+		mergeLosses(sum.Suspects, report.Suspects)
 		for service, slots := range report.Demand {
 			sum.Demand[service] += slots
 		}
--- a/internal/steer/direct/tick.go
+++ b/internal/steer/direct/tick.go
@@ -67,9 +67,9 @@
 	if old, ok := s.peers[e.Peer]; ok {
 		s.addPeerPortions(old.Report, -1)
 	}
-	for fingerprint, losses := range e.Report.Suspects {
-		if own, known := s.suspects[fingerprint]; !known || own.losses < losses {
-			s.suspects.recordLosses(s.now, fingerprint, losses)
+	for fingerprint, lost := range e.Report.Suspects {
+		for _, incarnation := range lost {
+			s.suspects.recordLoss(s.now, fingerprint, incarnation, false)
 		}
 	}
 	for _, incarnation := range e.Report.Leaving {
--- a/internal/wire/gossip/gossip.go
+++ b/internal/wire/gossip/gossip.go
@@ -60,14 +60,15 @@
 	// Demand is, by service, the number of slots that callers' requests need. Requests that
 	// are sent again after a refusal are left out.
 	Demand map[string]float64 `cbor:"2,keyasint,omitempty"`
-	// Suspects holds, by the fingerprint of a request's content, how many servers in a row
-	// broke the connection while they had a request with this content.
-	Suspects map[uint64]int `cbor:"3,keyasint,omitempty"`
 	// Lost holds the keys of the servers that failed a request and then a probe in the last 1.5 s.
 	Lost []uint32 `cbor:"4,keyasint,omitempty"`
 	// Leaving holds the incarnations of the servers that have recently said in a response that
 	// they are leaving. An incarnation stands for one start of a server.
 	Leaving []uint64 `cbor:"5,keyasint,omitempty"`
+	// Suspects holds, by the fingerprint of a request's content, the incarnations of the
+	// servers that in a row broke the connection while they had a request with this content.
+	// Key 3 was their number.
+	Suspects map[uint64][]uint64 `cbor:"6,keyasint,omitempty"`
 }
 
 // Report is what an entry VM tells the relay of its region and the relay's stand-in. The
