Let the slow request of a test last as long as the test

TestIdleEntryVMsOfALargeRegion looked for a request in flight 4 s after its start, and the route's timeout of 4 s ended it; it passed only while the last digest still counted the request. The route of this test now has a timeout above every wait of the test; what it asks for is the same.

--- a/internal/run/direct/relay_test.go
+++ b/internal/run/direct/relay_test.go
@@ -117,6 +117,8 @@
 	})
 	defer close(release)
 	d := newDeployment(s.listed("server", "z1"))
+	// The slow request is in flight for the whole test.
+	d.routeTimeout = 2 * waitTimeout
 	var all []*runningEntryVM
 	for i := range 18 {
 		all = append(all, startEntryVM(t, d, fmt.Sprintf("127.0.2.%d", i+1), time.Second))
