Look for the end of an outage only where entries are kept

Change: noteRead looks for one only with a DeletionGrace.

Evidence: TestReadsAreNotLogged sees 2 lines for 3 reads on the last commit, none now.

--- a/internal/run/mirror/grace.go
+++ b/internal/run/mirror/grace.go
@@ -23,7 +23,7 @@
 // that it deletes are those of servers that left. Callers hold m.mu.
 func (m *Mirror) noteRead(at time.Duration) {
 	last, known := m.readAt.Get()
-	if known && at-last > m.options.OutageGap {
+	if known && m.options.DeletionGrace > 0 && at-last > m.options.OutageGap {
 		m.storeUpAt = option.Some(at)
 		m.log.Info("store was read by no entry VM, entries that expired are kept for a while",
 			zap.Duration("gap", at-last), zap.Duration("grace", m.options.DeletionGrace))
--- a/internal/run/mirror/mirror_test.go
+++ b/internal/run/mirror/mirror_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"github.com/greengagetally/greengagetally/internal/clock/timer"
 	"github.com/greengagetally/greengagetally/internal/run/mirror"
@@ -388,6 +389,19 @@
 	require.Equal(t, []string{"t/1", "t/2"}, copier.keys())
 }
 
+// Guards against a log line for every read of a table whose items are not kept.
+func TestReadsAreNotLogged(t *testing.T) {
+	t.Parallel()
+	core, logs := observer.New(zap.InfoLevel)
+	s, clock := newStore(1), timer.NewManual(time.Unix(0, 0))
+	m := mirror.New(s, clock, zap.New(core), mirror.Options{Prefix: "t/", OnChange: func(mirror.Snapshot) {}})
+	for range 3 {
+		m.Read(t.Context())
+		clock.Advance(time.Minute)
+	}
+	require.Zero(t, logs.Len())
+}
+
 // Guards against an entry VM that starts right after an outage and drops servers whose
 // entries are about to be written again.
 func TestStartAfterOutageTakesOverKeptItems(t *testing.T) {
