Trust a copy that is not exact for as long as its reader needs

If the store changes during each read of a table with several pages, the entry VMs that copy the table would all read it themselves, one rank after the other.

Change: such a copy counts as fresh for twice MaxAge after it was replaced. The entry VM that read it reads again by then, and its next copy has another revision. Only a copy that stays is read again.

--- a/internal/run/mirror/mirror.go
+++ b/internal/run/mirror/mirror.go
@@ -65,7 +65,9 @@
 	highRankDelay    = 10 * time.Millisecond
 	maxHighRankDelay = time.Second
 	// copyGraceFactor is how much longer, in units of MaxAge, a copy may grow old while
-	// another entry VM is known to have read a newer one, which should arrive by then.
+	// another entry VM is known to have read a newer one, which should arrive by then. For
+	// as long a copy that is not exact may count as fresh: the entry VM that read it reads
+	// again meanwhile.
 	copyGraceFactor = 2
 	// retryRankDelay and maxRetryRank spread the retries of entry VMs whose reads fail, so
 	// that not all of them call a store that does not answer.
@@ -149,6 +151,8 @@
 	// table. ownReadAt is the start of this entry VM's own last read.
 	freshAt   time.Duration
 	ownReadAt time.Duration
+	// replacedAt is when the copy was last replaced.
+	replacedAt time.Duration
 	// newerReadAt is when another entry VM last read a newer table than the copy.
 	newerReadAt time.Duration
 	// failing is true while own reads fail.
@@ -332,8 +336,7 @@
 	m.freshAt, m.ownReadAt = max(m.freshAt, start), start
 	next, changed := m.table.WithRead(read.items, read.first, read.newest)
 	if changed {
-		m.table = next
-		m.keepMissing()
+		m.replace(next)
 	}
 	m.mu.Unlock()
 	if changed {
@@ -343,6 +346,12 @@
 	return changed
 }
 
+// replace replaces the copy. Callers hold m.mu.
+func (m *Mirror) replace(next table.Copy) {
+	m.table, m.replacedAt = next, m.clock.Now()
+	m.keepMissing()
+}
+
 // ObserveRevision records the revision of another entry VM's copy. readAge is how long
 // ago that entry VM itself read the copy from the store, or nothing if it did not.
 // ObserveRevision reports whether the own copy is older or missing.
@@ -360,7 +369,8 @@
 
 		return true
 	}
-	if read && revision == m.table.Revision() && m.table.IsExact() {
+	trusted := m.table.IsExact() || m.clock.Now() < m.replacedAt+copyGraceFactor*m.options.MaxAge
+	if read && revision == m.table.Revision() && trusted {
 		m.freshAt = max(m.freshAt, m.clock.Now()-age)
 	}
 
@@ -396,8 +406,7 @@
 		return false
 	}
 	m.noteRead(m.clock.Now() - units.ClampMillis(float64(delta.ReadAgeMillis)))
-	m.table = next
-	m.keepMissing()
+	m.replace(next)
 	if !wasLoaded {
 		m.keepReceived(delta)
 	}
