Answer a request that is being read when an entry VM stops

Cause: when a response was complete after the stop, the connection was closed for sending although the first bytes of the next request had been read. That request was passed on, and its response could not be written. The response before it could say that the connection closes, on which a caller sends the request behind it again, whatever its kind.

Change: while a request is being read, no response is the connection's last and the connection stays open; after the stop no request is begun to be read.

--- a/internal/wire/http1/caller.go
+++ b/internal/wire/http1/caller.go
@@ -47,7 +47,10 @@
 	// awaitingRequest is true while the reading goroutine waits for the first byte of a
 	// request.
 	awaitingRequest bool
-	// readStopped is true once no further request is read.
+	// readingRequest is true from the first byte of a request until its exchange is
+	// outstanding.
+	readingRequest bool
+	// readStopped is true once no further request is begun to be read.
 	readStopped bool
 	// outstanding are the exchanges whose responses are not complete, in the order of
 	// their requests.
@@ -223,6 +226,11 @@
 	if err != nil {
 		return fmt.Errorf("wait for request: %w", err)
 	}
+	if c.readStopped {
+		// A response may have said already that the connection closes.
+		return errReadStopped
+	}
+	c.readingRequest = true
 
 	return nil
 }
@@ -292,6 +300,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.outstanding = append(c.outstanding, x)
+	c.readingRequest = false
 	if len(c.outstanding) == 1 {
 		close(x.turn)
 	}
@@ -333,7 +342,7 @@
 	if index == 0 && len(c.outstanding) > 0 {
 		close(c.outstanding[0].turn)
 	}
-	closing := c.readStopped && len(c.outstanding) == 0 && !c.broken
+	closing := c.readStopped && !c.readingRequest && len(c.outstanding) == 0 && !c.broken
 	c.mu.Unlock()
 	<-c.pipelineSlots
 	if closing {
@@ -347,7 +356,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
-	return c.readStopped && len(c.outstanding) == 1 && c.outstanding[0] == x
+	return c.readStopped && !c.readingRequest && len(c.outstanding) == 1 && c.outstanding[0] == x
 }
 
 // closeGracefully closes the sending side before it closes the connection. Otherwise
--- a/internal/wire/http1/stop_test.go
+++ b/internal/wire/http1/stop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -82,6 +83,55 @@
 	require.Eventually(t, func() bool { return listener.OpenConnections() == 0 }, testWait, 10*time.Millisecond)
 }
 
+// Guards against a stop that closes the connection after a response although the next
+// request is being read: that request would run, and its response be lost. Nor may the first
+// response say that the connection closes, because callers send what is behind it again.
+func TestStopAnswersRequestThatIsBeingRead(t *testing.T) {
+	t.Parallel()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	started, release := make(chan struct{}, 2), make(chan struct{})
+	// The limits are asked for twice for each request: before it, and after its first byte.
+	asked := make(chan struct{}, 8)
+	listener := http1.NewListener(testNames, handlerFunc(func(x *http1.Exchange) {
+		started <- struct{}{}
+		<-release
+		x.Respond(http1.Response{Status: 200, Body: []byte(x.ID)})
+	}), func() http1.RequestLimits {
+		asked <- struct{}{}
+
+		return http1.RequestLimits{HeaderTimeout: testWait, IdleTimeout: testWait}
+	}, testBodyMemory)
+	ctx, cancel := context.WithCancel(context.Background())
+	var serving sync.WaitGroup
+	serving.Go(func() { _ = listener.Serve(ctx, l) })
+	t.Cleanup(func() {
+		cancel()
+		serving.Wait()
+	})
+	c := dial(t, l.Addr().String())
+	second := get("/2")
+	_, err = io.WriteString(c, get("/1")+second[:10])
+	require.NoError(t, err)
+	<-started
+	for range 4 {
+		<-asked
+	}
+	listener.Drain()
+	close(release)
+	in := bufio.NewReader(c)
+	status, body, closes := readResponse(t, in)
+	require.Equal(t, 200, status)
+	require.Equal(t, "1", body)
+	require.False(t, closes)
+	_, err = io.WriteString(c, second[10:])
+	require.NoError(t, err)
+	status, body, closes = readResponse(t, in)
+	require.Equal(t, 200, status)
+	require.Equal(t, "2", body)
+	require.True(t, closes)
+}
+
 // Guards against a response that breaks off at the server and looks complete to the
 // caller.
 func TestBrokenOffResponseLooksIncomplete(t *testing.T) {
