--- a/internal/wire/http1/endless_test.go
+++ b/internal/wire/http1/endless_test.go
@@ -42,6 +42,8 @@
 		defer func() { _ = c.Close() }()
 		r, err := http.ReadRequest(bufio.NewReader(c))
 		if err != nil {
+			closedEarly <- false
+
 			return
 		}
 		_, err = io.WriteString(c, strings.ReplaceAll(text, "%s", r.Header.Get("Request-Id")))
