Name the script fixture of the reducer's tests for what it is

It runs the scripts on notices, on the stop and on suspects. Comments only in table.go and attempt.go; no behaviour changed.

--- a/internal/steer/direct/attempt.go
+++ b/internal/steer/direct/attempt.go
@@ -57,8 +57,8 @@
 }
 
 // retry sends a request to another server. It gives the request up if the time left, a
-// planned stop, the route's MaxAttempts, the request's content or the retry budget forbids another
-// attempt. A request whose attempts all ended as NotSent needs no budget and may be
+// planned stop, the route's MaxAttempts, the request's content or the retry budget forbids
+// another attempt. A request whose attempts all ended as NotSent needs no budget and may be
 // queued.
 func (s *state) retry(r *request, reason Reason) {
 	switch {
--- a/internal/steer/direct/notice_test.go
+++ b/internal/steer/direct/script_test.go
@@ -39,7 +39,7 @@
 	t.Helper()
 	datadriven.Walk(t, folder, func(t *testing.T, path string) {
 		t.Helper()
-		f := newNoticeFixture()
+		f := newScriptFixture()
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			t.Helper()
 
@@ -48,8 +48,8 @@
 	})
 }
 
-// noticeFixture is one entry VM of the region r.
-type noticeFixture struct {
+// scriptFixture is one entry VM of the region r.
+type scriptFixture struct {
 	state direct.State
 	route intent.Route
 	now   time.Duration
@@ -57,8 +57,8 @@
 	sent map[direct.RequestID]string
 }
 
-func newNoticeFixture() *noticeFixture {
-	f := &noticeFixture{sent: map[direct.RequestID]string{}}
+func newScriptFixture() *scriptFixture {
+	f := &scriptFixture{sent: map[direct.RequestID]string{}}
 	f.route = intent.Route{
 		Name: "route", Host: "h", Prefix: "/", Target: time.Second, Timeout: 3 * time.Second, MaxAttempts: 3,
 		ServiceWeights: []intent.ServiceWeight{{Service: "s", Weight: 1}},
@@ -72,7 +72,7 @@
 
 // run executes a command at the time given by its argument "at", if it has one, and
 // returns the effects.
-func (f *noticeFixture) run(t *testing.T, d *datadriven.TestData) string {
+func (f *scriptFixture) run(t *testing.T, d *datadriven.TestData) string {
 	t.Helper()
 	if d.HasArg("at") {
 		f.now = argDuration(t, d, "at")
@@ -114,7 +114,7 @@
 		return f.apply(direct.EntryVMsChanged{At: at, Names: []string{"entry", "other"}})
 	case "report":
 		// The other entry VM has heard from the servers in the input that they are leaving.
-		other := newNoticeFixture()
+		other := newScriptFixture()
 		other.apply(direct.ServersChanged{Servers: listedServers(t, d.Input)})
 		other.apply(direct.RequestArrived{ID: 1, Route: f.route, Deadline: 5 * time.Second})
 		other.apply(direct.AttemptEnded{ID: 1, Outcome: direct.Answered, Status: 200, Leaving: true})
@@ -156,7 +156,7 @@
 }
 
 // apply passes an event to the reducer and describes the effects, one on a line.
-func (f *noticeFixture) apply(ev direct.Event) string {
+func (f *scriptFixture) apply(ev direct.Event) string {
 	next, effects := direct.Reduce(f.state, ev)
 	f.state = next
 	var out strings.Builder
--- a/internal/value/table/table.go
+++ b/internal/value/table/table.go
@@ -26,11 +26,11 @@
 	// Since is the revision from which the delta is complete: Items holds every item
 	// that changed after it, and Deleted every key that was in the table at Since and is
 	// not any more. The receiver must have a copy of this revision or a later one.
-	Since    uint64
-	Items    map[string]Item
-	Deleted  []string
-	Revision uint64
-	Newest   uint64
+	Since   uint64
+	Items   map[string]Item
+	Deleted []string
+	// Revision and Newest are those of the sender's copy.
+	Revision, Newest uint64
 }
 
 const (
