Decide first tries and repeats alike

What callers saw: a caller that came back after a refusal, or that states less patience than others of its route, got only the slots that others left, and was refused while servers could have answered it in its time. Its demand was not counted, so its region got less room than its callers asked for. Cause: entry VMs guessed from the stated patience whether a request was a repeat, and counted its target from the guessed first try. Change: the reducer no longer learns the stated patience, only the deadline. Demand counts all requests. Why it works: nothing in an event tells a repeat from a first try any more.

--- a/internal/run/direct/serve.go
+++ b/internal/run/direct/serve.go
@@ -80,7 +80,7 @@
 	r.id = p.lastID
 	p.effectChans[r.id] = r.effects
 	p.reduce(steer.RequestArrived{
-		At: steer.At(now), ID: r.id, Route: route, Object: exchange.Object, Deadline: now + patience, Patience: exchange.Patience,
+		At: steer.At(now), ID: r.id, Route: route, Object: exchange.Object, Deadline: now + patience,
 		Fingerprint: xxhash.Sum64String(exchange.Method + exchange.Host + exchange.Target + string(exchange.Body)),
 	})
 	p.mu.Unlock()
--- a/internal/steer/direct/direct.go
+++ b/internal/steer/direct/direct.go
@@ -101,13 +101,12 @@
 	// residenceTimes holds the mean time in nanoseconds that a request spends at a server,
 	// by route. Long-running requests are included.
 	residenceTimes map[string]ewma.Mean
-	// demandRatios holds the number of slots that first requests need, relative to the
-	// slots of all regions, by service.
+	// demandRatios holds the number of slots that the callers' requests need, relative to
+	// the slots of all regions, by service.
 	demandRatios map[string]float64
 	// roundTrips holds the shortest time that it took to open a connection, by region.
 	roundTrips map[string]time.Duration
-	// patiences is keyed by route, pressures by service.
-	patiences map[string]*patience
+	// pressures is keyed by service.
 	pressures map[string]*pressure
 	suspects  suspects
 	// unlisted holds the servers that the list left out recently, by incarnation. A server
@@ -145,7 +144,6 @@
 		residenceTimes: map[string]ewma.Mean{},
 		demandRatios:   map[string]float64{},
 		roundTrips:     map[string]time.Duration{},
-		patiences:      map[string]*patience{},
 		pressures:      map[string]*pressure{},
 		suspects:       suspects{},
 		unlisted:       map[Incarnation]*server{},
@@ -215,12 +213,6 @@
 		r.deadline = min(r.deadline, s.now+e.Route.Timeout)
 	}
 	r.targetDeadline = s.now + e.Route.Target - callerRoundTrip
-	firstRequest := true
-	if e.Patience > 0 {
-		sinceFirstRequest := getOrCreate(s.patiences, e.Route.Name, func() *patience { return &patience{} }).sinceFirstRequest(s.now, e.Patience)
-		r.targetDeadline -= sinceFirstRequest
-		firstRequest = float64(sinceFirstRequest) <= firstRequestPeriodShare*float64(e.Route.Target)
-	}
 	s.lastPoint = nextPoint(s.lastPoint)
 	r.divisionPoint = s.lastPoint
 	r.objectHash = s.random.Uint64()
@@ -235,9 +227,7 @@
 		return
 	}
 	s.retryBudget(r.service).countFirstAttempt(s.now)
-	if firstRequest {
-		s.demand(r.service).requestedSlotTime += s.residenceTime(r)
-	}
+	s.demand(r.service).requestedSlotTime += s.residenceTime(r)
 	s.admit(r)
 }
 
--- a/internal/steer/direct/division.go
+++ b/internal/steer/direct/division.go
@@ -21,12 +21,11 @@
 	demandAlpha = 0.06
 )
 
-// demand is the number of slots of one service that the first requests of this entry
-// VM's callers need. Requests that come back after a refusal are left out; they are
-// recognised by their patience.
+// demand is the number of slots of one service that the requests of this entry VM's
+// callers need, whether or not they are served.
 type demand struct {
-	// requestedSlotTime is the total time in slots that the first requests since the last
-	// tick are expected to take.
+	// requestedSlotTime is the total time in slots that the requests since the last tick
+	// are expected to take.
 	requestedSlotTime time.Duration
 	// slots is the mean number of slots needed.
 	slots ewma.Mean
--- a/internal/steer/direct/event.go
+++ b/internal/steer/direct/event.go
@@ -13,8 +13,8 @@
 //     of this region's callers.
 //   - The spillover is the requests that run outside the region to which the division
 //     assigns them.
-//   - The demand ratio of a service is the number of slots that first requests need,
-//     relative to the slots that the service has.
+//   - The demand ratio of a service is the number of slots that the callers' requests
+//     need, relative to the slots that the service has.
 //   - The pressure on a service is the share of its recent requests that could still
 //     meet their target but found no server with room at once.
 package direct
@@ -91,8 +91,8 @@
 	// Suspects holds, by fingerprint, the incarnations of servers lost in a row to requests
 	// with the same content. A server is lost when it breaks the connection during a request.
 	Suspects map[uint64][]Incarnation
-	// Demand is the number of slots that the first requests of the entry VM's callers
-	// need, by service. Requests that come back after a refusal are left out.
+	// Demand is the number of slots that the requests of the entry VM's callers need, by
+	// service.
 	Demand map[string]float64
 	Region string
 }
@@ -160,8 +160,6 @@
 		Object string
 		// Deadline is when the caller stops waiting.
 		Deadline time.Duration
-		// Patience is how long the caller says that it will wait; 0 when it does not say.
-		Patience time.Duration
 		// Fingerprint is equal for requests with the same content.
 		Fingerprint uint64
 	}
--- a/internal/steer/direct/request.go
+++ b/internal/steer/direct/request.go
@@ -17,7 +17,7 @@
 	// or the end of the route's timeout if that is earlier.
 	deadline time.Duration
 	// targetDeadline is when the response must leave to reach the caller within the
-	// route's target. The target counts from the caller's first request.
+	// route's target.
 	targetDeadline time.Duration
 	// objectHash ranks the servers for the request's object. divisionPoint is the point in
 	// [0, 1) by which division.regionAt selects the region.
--- a/internal/steer/direct/status.go
+++ b/internal/steer/direct/status.go
@@ -9,7 +9,7 @@
 // ServiceStatus summarises what the entry VM knows of a service.
 type ServiceStatus struct {
 	Service string
-	// DemandRatio is the number of slots that first requests need, relative to the
+	// DemandRatio is the number of slots that the callers' requests need, relative to the
 	// service's slots.
 	DemandRatio float64
 	// Pressure is the share of requests that found no room at once on any server
--- a/internal/steer/direct/target.go
+++ b/internal/steer/direct/target.go
@@ -13,14 +13,6 @@
 const (
 	// callerRoundTrip is the assumed network time from a caller to its entry VM and back.
 	callerRoundTrip = 14 * time.Millisecond
-	// patienceVariation is the share by which the patience in first requests differs
-	// between callers. Under high pressure a refused caller is asked to wait for a larger
-	// share of its patience (retryAfterShare), so that its next request is not taken for a
-	// first one.
-	patienceVariation = 0.15
-	// patienceTTL is how long the longest patience that a route's callers have stated is
-	// used after it was last stated.
-	patienceTTL = 20 * time.Second
 	// pressureAlpha is the weight of one request in the pressure on a service. The mean
 	// covers about the last 50 requests.
 	pressureAlpha = 0.02
@@ -32,36 +24,12 @@
 	// by any requests, is below lateLoadFactor x (1 - the demand ratio of the service). The
 	// factor is above 1, because the demand is not spread evenly over the servers.
 	lateLoadFactor = 1.5
-	// firstRequestPeriodShare is a share of the route's target. For this time after a
-	// caller's first request, further requests of the caller also count as first requests.
-	firstRequestPeriodShare = 0.25
 	// retryAfterShare is the share of the time until the deadline that a refused caller is
 	// asked to wait under high pressure. Callers wait for at most a third of the time
 	// until the deadline.
 	retryAfterShare = 0.3
 )
 
-// patience holds the longest wait that callers of a route have stated. A caller that
-// comes back after a refusal states a shorter wait than in its first request. The waits
-// stated in first requests differ by up to patienceVariation.
-type patience struct {
-	longest time.Duration
-	seenAt  time.Duration
-}
-
-// sinceFirstRequest returns how long ago a caller with the stated patience probably
-// sent its first request. It returns 0 when this may be the first request.
-func (p *patience) sinceFirstRequest(now, stated time.Duration) time.Duration {
-	if stated >= p.longest || now > p.seenAt+patienceTTL {
-		p.longest, p.seenAt = stated, now
-	}
-	if float64(stated) >= (1-patienceVariation)*float64(p.longest) {
-		return 0
-	}
-
-	return time.Duration((1-patienceVariation/2)*float64(p.longest)) - stated
-}
-
 // pressure is the share of the requests for a service that found no room at once on any
 // server considered for them. Only requests that could still meet their target count.
 type pressure struct {
--- a/internal/steer/direct/tick.go
+++ b/internal/steer/direct/tick.go
@@ -169,7 +169,7 @@
 	return slots
 }
 
-// demandByRegion returns the slots of a service that the first requests of each
+// demandByRegion returns the slots of a service that the requests of each
 // region's callers need. The map is empty before the first request.
 func (s *state) demandByRegion(service string, own *demand) map[string]float64 {
 	demands := map[string]float64{}
