Let requests wait, and refuse them, by the time that their callers have

Cause: waits, refusals, the assumed work, the choice of servers and the late requests' slots followed from shares of the target. When all work became slower than the target, every request counted as late and servers idled. Evidence: TestFateDoesNotChangeWithTheTarget, a property test: twins whose routes differ in nothing but the target. Change: a request waits while wait, work and way back fit the time left (wait.go). The wait at a server follows from the work that is there and queued for it and from this entry VM's part of the slots. Servers are ordered by the expected time to the answer and by what the slot costs others (M/M/1). A request goes to a server that does not know its object only if that costs others less time than its own caller has. A queue that has stood for longer than a request could wait is kept to one residence time. Work is the median that was measured, nothing before the first response; the division keeps its start until demand is known. A route whose work seems too long sends one request in each such time, to learn that it is not. Why it works: the reducer does not read the target.

--- a/internal/run/direct/entryvm.go
+++ b/internal/run/direct/entryvm.go
@@ -265,7 +265,7 @@
 		services, routes := p.state.ServiceStatuses(), p.state.RouteStatuses()
 		p.mu.Unlock()
 		for _, s := range services {
-			p.log.Info("service status", zap.String("service", s.Service), zap.Float64("use", s.DemandRatio), zap.Float64("pressure", s.Pressure),
+			p.log.Info("service status", zap.String("service", s.Service), zap.Float64("use", s.DemandRatio), zap.Duration("longest-wait", s.LongestWait),
 				zap.Int("servers", s.ServerCount), zap.Int("usable", s.UsableServers), zap.Int("cold", s.ColdServers),
 				zap.Float64("occupied", s.Occupied), zap.Int("slots", s.Slots), zap.Int("waiting", s.WaitingRequests), zap.Any("parts", s.RegionShares))
 		}
--- a/internal/run/direct/serve.go
+++ b/internal/run/direct/serve.go
@@ -112,7 +112,7 @@
 				holdTimer = time.After(e.Until - r.clock.Now())
 			case steer.Refuse:
 				r.refuse(r.exchange, e.Reason, e.RetryAfter, r.fields(
-					zap.Float64("use", e.DemandRatio), zap.Float64("pressure", e.Pressure), zap.Duration("left", e.TimeToTarget))[1:]...)
+					zap.Float64("use", e.DemandRatio), zap.Duration("wait", e.Wait), zap.Duration("work", e.AnswerTime), zap.Duration("left", e.TimeLeft))[1:]...)
 
 				return
 			case steer.ReturnResponse:
--- a/internal/steer/direct/attempt.go
+++ b/internal/steer/direct/attempt.go
@@ -56,28 +56,18 @@
 	}
 }
 
-// retry sends a request to another server. It gives the request up if the time left, a
-// planned stop, the route's MaxAttempts, the request's content or the retry budget forbids
-// another attempt. A request whose attempts all ended as NotSent needs no budget and may be
-// queued.
+// retry sends a request to another server, or lets it wait for one. It gives the request
+// up if a planned stop, the route's MaxAttempts, the request's content or the retry budget
+// forbids another attempt, or if no answer is expected in time. A request whose attempts
+// all ended as NotSent needs no budget.
 func (s *state) retry(r *request, reason Reason) {
 	switch {
 	case !s.mayStart(r):
 		s.giveUp(r, ReasonStopping)
-	case s.now+time.Duration(minRetryTimeShare*float64(s.typicalTime(r, secondRank))) >= r.deadline && r.attempts > 0:
-		s.giveUp(r, reason)
 	case r.attempts >= max(r.route.MaxAttempts, 1), s.suspects.refuses(s.now, r.fingerprint):
 		s.giveUp(r, reason)
-	case r.attempts > 0 && !s.takeRetry(r):
-		s.giveUp(r, ReasonRetryBudget)
 	default:
-		if chosen, anyEligible := s.choose(r); chosen != nil {
-			s.send(r, chosen)
-		} else if r.attempts == 0 && anyEligible && s.now < holdUntil(r) {
-			s.admit(r)
-		} else {
-			s.giveUp(r, reason)
-		}
+		s.place(r, reason)
 	}
 }
 
@@ -158,10 +148,11 @@
 		k = s.rankOf(r, srv)
 	}
 	took := max(s.now-r.sentAt-s.roundTrip(srv.Region), 0)
-	typicalTime := s.typicalTime(r, k)
-	srv.measuredSlowdown = srv.measuredSlowdown.With(min(float64(took)/float64(typicalTime), maxSlowdownSample), slowdownAlpha)
+	if typicalTime := s.typicalTime(r, k); typicalTime > 0 {
+		srv.measuredSlowdown = srv.measuredSlowdown.With(min(float64(took)/float64(typicalTime), maxSlowdownSample), slowdownAlpha)
+	}
 	times := s.typicalTimes(r)
-	times[k] = times[k].With(float64(took), typicalPercentile, typicalStep)
+	times.byRank[k] = times.byRank[k].With(float64(took), typicalPercentile, typicalStep)
 }
 
 // extendCold prolongs the cold time of a server if the server says how long it stays
--- a/internal/steer/direct/choose.go
+++ b/internal/steer/direct/choose.go
@@ -22,112 +22,124 @@
 )
 
 const (
-	// maxAssumedTimeShare bounds the processing time that is assumed for a server that
-	// knows the object, as a share of the route's target. The bound matters when all
-	// servers have forgotten all objects, so that every response is late. Without the
-	// bound no request would seem able to meet its target, all requests would be refused
-	// at high demand, and no server would come to know an object again.
-	maxAssumedTimeShare = 0.6
 	// typicalPercentile is the percentile of a route's processing times that counts as the
-	// typical time. Long-running requests, requests for forgotten objects and requests at
-	// slow servers take longer than that. typicalStep is the step argument of ewma.Percentile.With.
-	typicalPercentile = 30
+	// typical time: it is as likely that a request takes longer as that it does not.
+	// typicalStep is the step argument of ewma.Percentile.With.
+	typicalPercentile = 50
 	typicalStep       = 0.04
 	// minProcessingTime keeps estimates above the inaccuracy of the clock.
 	minProcessingTime = 5 * time.Millisecond
-	// slotCostFactor is the cost of a second in a slot when all slots are in demand. The
-	// cost is measured in seconds of the caller's waiting time.
-	slotCostFactor = 1.0
 	// failureCostFactor is the cost added for a server that fails many requests, as a
-	// multiple of the processing time.
+	// multiple of the processing time: the request may have to be repeated.
 	failureCostFactor = 1.0
-	// scarceDemandRatio is the demand for a service, relative to its slots, above which
-	// requests go only to servers that know their objects. On another server a request
-	// would hold a slot several times as long and make that server forget one of its
-	// objects.
-	scarceDemandRatio = 0.6
 )
 
 // typicalTimes are the typical processing times of a route's requests in nanoseconds,
 // by the server's rank for the object.
-type typicalTimes [rankCount]ewma.Percentile
+type typicalTimes struct {
+	byRank [rankCount]ewma.Percentile
+	// lastSentAt is when a request of the route was last sent.
+	lastSentAt time.Duration
+}
 
 // atRank returns the typical time at rank k. If rank k has had no responses, it returns
-// the time at the next rank that has had some. If there is none, it returns
-// maxAssumedTimeShare of the target.
-func (t *typicalTimes) atRank(k rank, target time.Duration) time.Duration {
-	for ; k < rankCount; k++ {
-		if t[k].Count() > 0 {
-			return max(time.Duration(t[k].Value()), minProcessingTime)
+// the time at the next rank that has had some, else that at the nearest rank before. It
+// returns 0 if there is none.
+func (t *typicalTimes) atRank(k rank) time.Duration {
+	for _, other := range []rank{k, k + 1, k + 2, k - 1, k - 2} {
+		if other >= 0 && other < rankCount && t.byRank[other].Count() > 0 {
+			return max(time.Duration(t.byRank[other].Value()), minProcessingTime)
 		}
 	}
 
-	return max(time.Duration(maxAssumedTimeShare*float64(target)), minProcessingTime)
+	return 0
 }
 
-// candidate is a server that would take a request, and the cost of sending the request
-// there.
+// candidate is a server that may get a request.
 type candidate struct {
 	server *server
-	rank   rank
-	cost   time.Duration
+	// hasRoom is true when the server takes the request now. inTime is true when the
+	// response is expected before the request's deadline.
+	hasRoom, inTime bool
+	// cost is the expected time until the response, with the wait for room, and the time
+	// that other requests wait for the slot.
+	cost time.Duration
+	// wait is the expected time until the request gets a slot.
+	wait time.Duration
+}
+
+// isBetter reports whether a request should rather go to c than to another candidate.
+func (c candidate) isBetter(other candidate) bool {
+	if other.server == nil || c.server == nil || c.inTime != other.inTime {
+		return c.server != nil && (other.server == nil || c.inTime)
+	}
+
+	if c.cost == other.cost {
+		return c.hasRoom && !other.hasRoom
+	}
+
+	return c.cost < other.cost
+}
+
+// choice says where a request may go.
+type choice struct {
+	// server takes the request now; nil if none does.
+	server *server
+	// eligible is true when some server is eligible, whether or not it has room. awaited is
+	// then the server for which the request should wait.
+	eligible bool
+	awaited  *server
 }
 
-// choose returns the server for a request, or nil when no server takes the request now.
-// It prefers a server that meets the target, first in the region that the division
-// assigns. anyEligible is true when some server is eligible, whether or not it has
-// room.
-func (s *state) choose(r *request) (chosen *server, anyEligible bool) {
+// choose returns the server for a request. It prefers the region that the division
+// assigns. While no server there has room, the request goes to another region if that is
+// expected to cost less than to wait.
+func (s *state) choose(r *request) choice {
 	ownRegion := s.settings.Region
 	assigned, hasRegion := ownRegion, true
 	if d := s.divisions[r.service]; d != nil {
 		assigned, hasRegion = d.regionAt(r.divisionPoint, ownRegion, r.permits)
 	}
-	r.foundRoom, r.assignedRegion = false, ""
+	r.assignedRegion, r.answerTime = "", math.MaxInt64
+	var best candidate
 	if hasRegion {
 		r.assignedRegion = assigned
+		best = s.pickServer(r, func(srv *server) bool { return srv.Region == assigned })
 	}
-	var best candidate
-	if hasRegion {
-		best, anyEligible = s.pickServer(r, func(srv *server) bool { return srv.Region == assigned })
-		if best.server != nil && s.meetsTarget(r, best.server, best.rank) {
-			return best.server, true
-		}
-		if anyEligible && (s.waitsForRoom(r) || !s.spillover.allowed(s.now)) {
-			return best.server, true
+	if best.server == nil || !(best.hasRoom && best.inTime) && s.spillover.allowed(s.now) {
+		other := s.pickServer(r, func(srv *server) bool { return !hasRegion || srv.Region != assigned })
+		if best.server == nil || other.hasRoom && other.isBetter(best) {
+			best = other
 		}
 	}
-	other, otherEligible := s.pickServer(r, func(srv *server) bool { return !hasRegion || srv.Region != assigned })
-	if best.server == nil || other.server != nil && s.meetsTarget(r, other.server, other.rank) {
-		best = other
-	}
+	if best.server == nil {
+		r.wait, r.answerTime = s.eligibleAt(r)-s.now, s.typicalTime(r, firstRank)
 
-	return best.server, anyEligible || otherEligible
-}
+		return choice{}
+	}
+	r.wait = best.wait
+	if best.hasRoom && (best.inTime || s.trialDue(r)) {
+		return choice{server: best.server, eligible: true}
+	}
 
-// waitsForRoom reports whether a request should wait for room on the servers that know
-// its object instead of going to another region.
-func (s *state) waitsForRoom(r *request) bool {
-	return r.route.Sticky && s.canMeetTarget(r) && (s.now < firstServerWaitUntil(r) || s.now < holdUntil(r) && s.slotsScarce(r.service))
+	return choice{eligible: true, awaited: best.server}
 }
 
-// waitsForFirstServer reports whether a request waits for a slot of the first server by
-// rank instead of going to the second server, which often does not know the object.
-func (s *state) waitsForFirstServer(r *request, first *server) bool {
-	return r.route.Sticky && first.isFull() && s.canMeetTarget(r) && s.now < firstServerWaitUntil(r)
+// trialDue reports whether a request is sent although it will probably miss its deadline.
+// One in each typical processing time shows whether the servers have become faster.
+func (s *state) trialDue(r *request) bool {
+	return r.attempts == 0 && s.now < r.deadline && s.now-s.typicalTimes(r).lastSentAt >= s.typicalTime(r, firstRank)
 }
 
-// pickServer returns the cheapest server that takes a request now. It considers the
-// servers of the request's service for which fits returns true. anyEligible is true
-// when one of these servers is eligible, whether or not it has room.
-func (s *state) pickServer(r *request, fits func(*server) bool) (best candidate, anyEligible bool) {
+// pickServer returns the best candidate for a request among the servers for which fits
+// returns true.
+func (s *state) pickServer(r *request, fits func(*server) bool) (best candidate) {
 	var first, second *server
 	var firstWeight, secondWeight uint64
 	for _, srv := range s.byService[r.service] {
 		if !fits(srv) || !s.eligible(srv, r) {
 			continue
 		}
-		anyEligible = true
 		if w := rendezvous.Mix(srv.hash ^ r.objectHash); first == nil || w > firstWeight {
 			first, second, firstWeight, secondWeight = srv, first, w, firstWeight
 		} else if second == nil || w > secondWeight {
@@ -135,49 +147,69 @@
 		}
 	}
 	consider := func(srv *server, k rank) {
-		if cost, ok := s.cost(r, srv, k); ok && (best.server == nil || cost < best.cost) {
-			best = candidate{server: srv, rank: k, cost: cost}
+		if c := s.candidate(r, srv, k); c.isBetter(best) {
+			best = c
 		}
 	}
-	if first != nil {
-		consider(first, firstRank)
+	if first == nil {
+		return best
 	}
-	if second != nil && (best.server != nil || !s.waitsForFirstServer(r, first)) {
+	consider(first, firstRank)
+	if second != nil {
 		consider(second, secondRank)
 	}
-	if best.server != nil && best.rank == firstRank || r.route.Sticky && s.slotsScarce(r.service) {
-		return best, anyEligible
+	if best.server == first && best.hasRoom && best.inTime {
+		return best
 	}
 	for _, srv := range s.byService[r.service] {
-		if srv != first && srv != second && fits(srv) && s.eligible(srv, r) {
+		if srv != first && srv != second && fits(srv) && s.hasRoom(srv) && s.eligible(srv, r) {
 			consider(srv, otherRank)
 		}
 	}
 
-	return best, anyEligible
+	return best
 }
 
-// cost returns the expected time until the response of a server, plus additions for the
-// use of a slot, for a server without free slots and for a server that fails often. It
-// returns false when the server does not take the request now.
-func (s *state) cost(r *request, srv *server, k rank) (time.Duration, bool) {
-	if srv.isFull() || srv.inFlight >= s.maxConnections(r.service) {
-		return 0, false
-	}
-	r.foundRoom = true
-	if !s.meetsTarget(r, srv, k) && !s.admitsLate(r, srv) {
-		return 0, false
+// candidate returns a server as a candidate for a request.
+func (s *state) candidate(r *request, srv *server, k rank) candidate {
+	if r.assignedRegion != "" && srv.Region != r.assignedRegion {
+		// The division keeps the object in its assigned region.
+		k = otherRank
 	}
 	processing := s.processingTime(r, srv, k)
-	cost := s.roundTrip(srv.Region) + processing + time.Duration(slotCostFactor*min(s.demandRatios[r.service], 1)*float64(processing))
-	if excess := srv.occupied() - float64(srv.Slots) + 1; excess > 0 {
-		cost += time.Duration(float64(processing) * excess / float64(max(srv.Slots, 1)))
+	answerTime := s.roundTrip(srv.Region) + processing
+	r.answerTime = min(r.answerTime, answerTime)
+	c := candidate{server: srv, hasRoom: s.hasRoom(srv), wait: s.waitAt(r, srv)}
+	c.inTime = s.fits(r, c.wait+answerTime)
+	if r.route.Sticky && k == otherRank && !s.fits(r, time.Duration(s.slotPrices[r.service]*float64(processing))) {
+		// On a server that does not know the object, the request would cost the callers of
+		// others more time than its own caller has.
+		c.inTime = false
 	}
+	c.cost = c.wait + answerTime + time.Duration(s.slotPrices[r.service]*float64(processing))
 	if srv.failsOften() {
-		cost += time.Duration(failureCostFactor * float64(processing))
+		c.cost += time.Duration(failureCostFactor * float64(processing))
+	}
+
+	return c
+}
+
+// hasRoom reports whether a server takes another request now.
+func (s *state) hasRoom(srv *server) bool {
+	return !srv.isFull() && srv.inFlight < s.maxConnections(srv.Service)
+}
+
+// slotPrice returns how long other requests wait in all for each second that a request
+// spends in a slot, as in a queue with one server (M/M/1): use / (1 - use). At least one
+// slot counts as free.
+func slotPrice(demandRatio float64, slots map[string]float64) float64 {
+	total := 1.0
+	for _, n := range slots {
+		total += n
 	}
+	use := min(demandRatio, 1)
 
-	return cost, true
+	return use / max(1-use, 1/total)
 }
 
 // maxConnections returns how many connections to one server of a service this entry VM
@@ -206,18 +238,14 @@
 	return time.Duration(srv.slowdown(s.now) * float64(s.typicalTime(r, k)))
 }
 
-// typicalTime returns the typical processing time of a route's requests at a rank.
+// typicalTime returns the typical processing time of a route's requests at a rank, 0 before
+// the first response.
 func (s *state) typicalTime(r *request, k rank) time.Duration {
 	if !r.route.Sticky {
 		k = otherRank
 	}
 
-	typicalTime := s.typicalTimes(r).atRank(k, r.route.Target)
-	if k == firstRank {
-		typicalTime = min(typicalTime, time.Duration(maxAssumedTimeShare*float64(r.route.Target)))
-	}
-
-	return typicalTime
+	return s.typicalTimes(r).atRank(k)
 }
 
 // typicalTimes returns the typical processing times of a request's route.
@@ -226,22 +254,9 @@
 }
 
 // residenceTime returns the mean time that a route's requests spend at a server, which
-// serves as their time in a slot. Before the first response it returns the target. No
-// server knows any object then, and a shorter time would spread the requests over
-// servers that forget the objects again.
+// serves as their time in a slot; 0 before the first response.
 func (s *state) residenceTime(r *request) time.Duration {
-	if m, ok := s.residenceTimes[r.route.Name]; ok && m.Count() > 0 {
-		return time.Duration(m.Value())
-	}
-
-	return r.route.Target
-}
-
-// slotsScarce reports whether requests for a service should go only to servers that
-// know their objects: the demand ratio exceeds scarceDemandRatio, or the pressure is
-// high.
-func (s *state) slotsScarce(service string) bool {
-	return s.demandRatios[service] > scarceDemandRatio || s.pressure(service).isHigh()
+	return time.Duration(s.residenceTimes[r.route.Name].Value())
 }
 
 // roundTrip returns the network time to a region and back, 0 while it is not known.
--- a/internal/steer/direct/direct.go
+++ b/internal/steer/direct/direct.go
@@ -47,10 +47,6 @@
 	// goldenRatioFraction is the fractional part of the golden ratio. The fractional parts
 	// of its multiples are spread evenly over [0, 1).
 	goldenRatioFraction = 0.6180339887498949
-	// minRetryTimeShare is a share of the route's typical processing time at secondRank. A
-	// request that may have reached a server is retried only if more than this time is
-	// left until its deadline.
-	minRetryTimeShare = 0.8
 )
 
 // State is the state of the reducer. Only the State that Reduce returned last may be
@@ -102,13 +98,19 @@
 	// by route. Long-running requests are included.
 	residenceTimes map[string]ewma.Mean
 	// demandRatios holds the number of slots that the callers' requests need, relative to
-	// the slots of all regions, by service.
+	// the slots of all regions, by service. slotPrices holds the time that others wait for
+	// a second in a slot.
 	demandRatios map[string]float64
+	slotPrices   map[string]float64
+	// heldPortions is what the requests of this entry VM take of the slots of a service, in
+	// units of 1/portionsPerSlot.
+	heldPortions map[string]int
+	// ownShares holds the share of the slots in use of a service that the requests of this
+	// entry VM hold.
+	ownShares map[string]float64
 	// roundTrips holds the shortest time that it took to open a connection, by region.
 	roundTrips map[string]time.Duration
-	// pressures is keyed by service.
-	pressures map[string]*pressure
-	suspects  suspects
+	suspects   suspects
 	// unlisted holds the servers that the list left out recently, by incarnation. A server
 	// whose entry lapses and comes back keeps what is known of it.
 	unlisted map[Incarnation]*server
@@ -144,7 +146,9 @@
 		residenceTimes: map[string]ewma.Mean{},
 		demandRatios:   map[string]float64{},
 		roundTrips:     map[string]time.Duration{},
-		pressures:      map[string]*pressure{},
+		slotPrices:     map[string]float64{},
+		heldPortions:   map[string]int{},
+		ownShares:      map[string]float64{},
 		suspects:       suspects{},
 		unlisted:       map[Incarnation]*server{},
 		splitPoints:    map[string]float64{},
@@ -212,7 +216,6 @@
 	if e.Route.Timeout > 0 {
 		r.deadline = min(r.deadline, s.now+e.Route.Timeout)
 	}
-	r.targetDeadline = s.now + e.Route.Target - callerRoundTrip
 	s.lastPoint = nextPoint(s.lastPoint)
 	r.divisionPoint = s.lastPoint
 	r.objectHash = s.random.Uint64()
@@ -256,59 +259,73 @@
 	return point
 }
 
-// admit sends a request, queues it or refuses it. A request that no server takes now is
-// queued only if it can still meet its target.
+// admit sends a request, queues it or refuses it.
 func (s *state) admit(r *request) {
 	if !s.mayStart(r) {
 		s.refuse(r, ReasonStopping)
 
 		return
 	}
-	chosen, anyEligible := s.choose(r)
-	canMeetTarget := s.canMeetTarget(r)
-	if canMeetTarget {
-		s.pressure(r.service).observe(chosen != nil || r.foundRoom)
+	s.place(r, "")
+}
+
+// place sends a request to a server, lets it wait for one or gives it up. The reason is that
+// of the last attempt, "" before the first. A request that may have reached a server needs
+// a retry from the budget.
+func (s *state) place(r *request, reason Reason) {
+	c := s.choose(r)
+	if reason == "" {
+		reason = s.refusalReason(r, c)
 	}
-	until := holdUntil(r)
 	switch {
-	case chosen != nil:
-		s.send(r, chosen)
-	case !anyEligible && s.earliestReturn(r) >= until, s.now >= until, !canMeetTarget:
-		s.refuse(r, s.refusalReason(r, anyEligible))
+	case c.server == nil && !s.mayWait(r):
+		s.giveUp(r, reason)
+	case r.attempts > 0 && !s.takeRetry(r):
+		s.giveUp(r, ReasonRetryBudget)
+	case c.server != nil:
+		s.send(r, c.server)
 	default:
-		s.queue(r.service).push(r)
-		s.emit(Hold{ID: r.id, Until: until})
+		r.awaited = c.awaited
+		s.queue(r.service).push(s.now, r)
+		s.emit(Hold{ID: r.id, Until: r.deadline - r.answerTime})
 	}
 }
 
-// earliestReturn returns the earliest time from which some server may get the request, if
-// none may get it now. The result is not after now while a server waits for a probe,
-// whose result may come at any moment, and the greatest duration if the list has no
-// server for the request.
-func (s *state) earliestReturn(r *request) time.Duration {
+// eligibleAt returns the earliest time from which some server may get the request, if none
+// may get it now. The result is the greatest duration if the list has no server for the
+// request.
+func (s *state) eligibleAt(r *request) time.Duration {
 	earliest := time.Duration(math.MaxInt64)
 	for _, srv := range s.byService[r.service] {
 		if srv.Leaving || s.evacuatedZones.Has(srv.Zone) || !r.permits(srv.Region) || r.tried(srv.ID) {
 			continue
 		}
-		if at := max(srv.avoidUntil, srv.pausedUntil); at < earliest {
-			earliest = at
+		at := max(s.now, srv.avoidUntil, srv.pausedUntil)
+		if srv.needsProbe && !srv.probing {
+			at = max(at, srv.nextProbeAt)
 		}
+		switch {
+		case !srv.isCold(at):
+		case s.hasColdRate(srv):
+			at = max(at, srv.nextColdSendAt)
+		default:
+			at = srv.coldUntil
+		}
+		earliest = min(earliest, at)
 	}
 
 	return earliest
 }
 
 // refusalReason returns the reason for the refusal of a request that no server takes.
-func (s *state) refusalReason(r *request, anyEligible bool) Reason {
+func (s *state) refusalReason(r *request, c choice) Reason {
 	switch {
 	case r.wasShed:
 		return ReasonServerShed
-	case !anyEligible:
+	case !c.eligible:
 		return ReasonNoServer
-	case !s.canMeetTarget(r):
-		// The slots are kept for requests that can meet their target.
-		return ReasonTargetPassed
+	case !s.fits(r, r.answerTime):
+		return ReasonNoTime
 	}
 
 	return ReasonNoCapacity
@@ -323,6 +340,8 @@
 	r.portions = s.slotPortions(r, srv)
 	srv.inFlight++
 	srv.ownPortions += r.portions
+	s.heldPortions[r.service] += r.portions
+	s.typicalTimes(r).lastSentAt = s.now
 	s.spillover.count(s.now, r.assignedRegion != "" && srv.Region != r.assignedRegion)
 	r.currentServer, r.sentAt = srv, s.now
 	r.triedServers = append(r.triedServers, srv.ID)
@@ -332,7 +351,7 @@
 	s.forget(r)
 	s.emit(Refuse{
 		ID: r.id, Reason: reason, RetryAfter: s.retryAfter(r, reason),
-		DemandRatio: s.demandRatios[r.service], Pressure: s.pressure(r.service).share.Value(), TimeToTarget: r.targetDeadline - s.now,
+		DemandRatio: s.demandRatios[r.service], Wait: r.wait, AnswerTime: r.answerTime, TimeLeft: r.deadline - s.now,
 	})
 }
 
@@ -351,10 +370,10 @@
 		return
 	}
 	s.queue(r.service).remove(r)
-	if chosen, anyEligible := s.choose(r); chosen != nil {
-		s.send(r, chosen)
+	if c := s.choose(r); c.server != nil {
+		s.send(r, c.server)
 	} else {
-		s.giveUp(r, s.refusalReason(r, anyEligible))
+		s.giveUp(r, s.refusalReason(r, c))
 	}
 }
 
@@ -374,6 +393,9 @@
 // flight, and at least one unit.
 func (s *state) slotPortions(r *request, srv *server) int {
 	processing := s.processingTime(r, srv, s.rankOf(r, srv))
+	if processing == 0 {
+		return portionsPerSlot
+	}
 
 	return max(int(math.Round(portionsPerSlot*float64(processing)/float64(processing+s.roundTrip(srv.Region)))), 1)
 }
@@ -384,29 +406,11 @@
 	if r.currentServer != nil {
 		r.currentServer.inFlight--
 		r.currentServer.ownPortions -= r.portions
+		s.heldPortions[r.service] -= r.portions
 		r.currentServer = nil
 	}
 }
 
-// dispatchQueued sends each queued request of a service that a server takes now.
-func (s *state) dispatchQueued(service string) {
-	q, ok := s.queues[service]
-	if !ok {
-		return
-	}
-	for i := 0; i < len(q.waiting); {
-		r := q.waiting[i]
-		chosen, _ := s.choose(r)
-		if chosen == nil {
-			i++
-
-			continue
-		}
-		q.remove(r)
-		s.send(r, chosen)
-	}
-}
-
 func (s *state) queue(service string) *queue {
 	return getOrCreate(s.queues, service, func() *queue { return &queue{} })
 }
--- a/internal/steer/direct/event.go
+++ b/internal/steer/direct/event.go
@@ -15,8 +15,8 @@
 //     assigns them.
 //   - The demand ratio of a service is the number of slots that the callers' requests
 //     need, relative to the slots that the service has.
-//   - The pressure on a service is the share of its recent requests that could still
-//     meet their target but found no server with room at once.
+//   - The time left of a request is the time until its caller stops waiting or its route
+//     times out.
 package direct
 
 import (
@@ -233,11 +233,10 @@
 
 // Reasons of Refuse and Fail, and of refusals by the runtime.
 const (
-	// ReasonNoCapacity: no server had room in time.
+	// ReasonNoCapacity: no server is expected to have room in time.
 	ReasonNoCapacity Reason = "no-capacity"
-	// ReasonTargetPassed: the request can no longer meet its target, and no server had
-	// room for late requests.
-	ReasonTargetPassed Reason = "target-passed"
+	// ReasonNoTime: the work is expected to take longer than the caller waits.
+	ReasonNoTime Reason = "no-time"
 	// ReasonNoServer: no server may get the request.
 	ReasonNoServer Reason = "no-server"
 	// ReasonServerShed: a server refused the request, and no other server took it.
@@ -292,11 +291,11 @@
 		ID         RequestID
 		Reason     Reason
 		RetryAfter time.Duration
-		// DemandRatio is the demand for the service relative to its slots. Pressure is the
-		// share of the service's requests that found no room. TimeToTarget is the time until
-		// the target passes, negative afterwards. All three are logged.
-		DemandRatio, Pressure float64
-		TimeToTarget          time.Duration
+		// DemandRatio is the demand for the service relative to its slots. Wait is the expected
+		// wait for a slot, AnswerTime the expected time from then to the answer, and TimeLeft
+		// the time until the caller stops waiting. All are logged.
+		DemandRatio                float64
+		Wait, AnswerTime, TimeLeft time.Duration
 	}
 	// ReturnResponse sends the caller the newest complete response to its request.
 	ReturnResponse struct{ ID RequestID }
--- a/internal/steer/direct/fate_test.go
+++ b/internal/steer/direct/fate_test.go
@@ -157,3 +157,26 @@
 		})
 	})
 }
+
+// TestFateDoesNotChangeWithTheTarget guards against waits and refusals at a share of the
+// route's target: callers whose requests the servers could have answered in the callers'
+// time were turned away.
+func TestFateDoesNotChangeWithTheTarget(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		routes := [2]intent.Route{fateRoute, fateRoute}
+		routes[1].Target *= time.Duration(rapid.SampledFrom([]int{2, 4, 10}).Draw(t, "times"))
+		tw := newTwins(routes)
+		tw.live(t, func(id direct.RequestID) [2]direct.Event {
+			left := time.Duration(rapid.IntRange(1, 30).Draw(t, "time left")) * 100 * time.Millisecond
+			var events [2]direct.Event
+			ev := direct.RequestArrived{At: direct.At(tw.now), ID: id, Object: fmt.Sprint(rapid.IntRange(0, 5).Draw(t, "object")), Deadline: tw.now + left}
+			for i := range events {
+				ev.Route = routes[i]
+				events[i] = ev
+			}
+
+			return events
+		})
+	})
+}
--- a/internal/steer/direct/report_test.go
+++ b/internal/steer/direct/report_test.go
@@ -36,7 +36,10 @@
 	near := newServer(0, Server{ID: "near", Region: "near", Slots: 4})
 	s.roundTrips["far"] = msec(100)
 	r := &request{}
-	r.route.Name, r.route.Target = "r", msec(500)
+	r.route.Name = "r"
+	require.Equal(t, portionsPerSlot, s.slotPortions(r, far), "the processing time is not known")
+	times := s.typicalTimes(r)
+	times.byRank[otherRank] = times.byRank[otherRank].With(float64(msec(300)), typicalPercentile, typicalStep)
 	require.Equal(t, msec(300), s.processingTime(r, near, otherRank))
 	require.Equal(t, portionsPerSlot, s.slotPortions(r, near))
 	require.Equal(t, portionsPerSlot*3/4, s.slotPortions(r, far))
--- a/internal/steer/direct/request.go
+++ b/internal/steer/direct/request.go
@@ -16,9 +16,6 @@
 	// deadline is the latest end of an attempt: the caller's deadline less responseMargin,
 	// or the end of the route's timeout if that is earlier.
 	deadline time.Duration
-	// targetDeadline is when the response must leave to reach the caller within the
-	// route's target.
-	targetDeadline time.Duration
 	// objectHash ranks the servers for the request's object. divisionPoint is the point in
 	// [0, 1) by which division.regionAt selects the region.
 	objectHash    uint64
@@ -43,10 +40,12 @@
 	queued           bool
 	// wasShed is true when a server has refused the request.
 	wasShed bool
-	// foundRoom is true when some server had room the last time that a server was chosen,
-	// even if that server would have missed the target.
-	foundRoom  bool
-	mayHaveRun bool
+	// awaited is the server for which a queued request waits, nil if there is none.
+	awaited *server
+	// wait is how long the request was last expected to wait for a slot. answerTime is the
+	// shortest time from then to the answer that was last expected at one of its servers.
+	wait, answerTime time.Duration
+	mayHaveRun       bool
 }
 
 // permits reports whether the servers of a region may get the request.
--- a/internal/steer/direct/script_test.go
+++ b/internal/steer/direct/script_test.go
@@ -94,7 +94,12 @@
 	case "request":
 		f.route.Idempotent = d.HasArg("idempotent")
 
-		return f.apply(direct.RequestArrived{At: at, ID: direct.RequestID(id), Route: f.route, Deadline: f.now + 5*time.Second, Fingerprint: uint64(content)})
+		left := 5 * time.Second
+		if d.HasArg("left") {
+			left = argDuration(t, d, "left")
+		}
+
+		return f.apply(direct.RequestArrived{At: at, ID: direct.RequestID(id), Route: f.route, Deadline: f.now + left, Fingerprint: uint64(content)})
 	case "answered", "not-run":
 		outcome := map[string]direct.Outcome{"answered": direct.Answered, "not-run": direct.NotRun}[d.Cmd]
 
--- a/internal/steer/direct/status.go
+++ b/internal/steer/direct/status.go
@@ -12,17 +12,16 @@
 	// DemandRatio is the number of slots that the callers' requests need, relative to the
 	// service's slots.
 	DemandRatio float64
-	// Pressure is the share of requests that found no room at once on any server
-	// considered for them. Only requests that could still meet their target count.
-	Pressure float64
 	// ServerCount is the number of all servers, UsableServers of the servers that may get
 	// requests now, and ColdServers of the cold servers.
 	ServerCount, UsableServers, ColdServers int
 	// Occupied and Slots are sums over the usable servers.
 	Occupied float64
 	Slots    int
-	// WaitingRequests is the number of queued requests.
+	// WaitingRequests is the number of queued requests. LongestWait is how long one of them
+	// has been waiting at most.
 	WaitingRequests int
+	LongestWait     time.Duration
 	// RegionShares holds the share of the own region's requests that each region serves.
 	RegionShares map[string]float64
 }
@@ -40,7 +39,7 @@
 func (s State) ServiceStatuses() []ServiceStatus {
 	out := make([]ServiceStatus, 0, len(s.byService))
 	for name, servers := range s.byService {
-		status := ServiceStatus{Service: name, DemandRatio: s.demandRatios[name], Pressure: s.pressure(name).share.Value(), ServerCount: len(servers)}
+		status := ServiceStatus{Service: name, DemandRatio: s.demandRatios[name], ServerCount: len(servers)}
 		for _, srv := range servers {
 			if srv.isCold(s.now) {
 				status.ColdServers++
@@ -53,6 +52,9 @@
 		}
 		if q, ok := s.queues[name]; ok {
 			status.WaitingRequests = len(q.waiting)
+			for _, r := range q.waiting {
+				status.LongestWait = max(status.LongestWait, s.now-r.arrivedAt)
+			}
 		}
 		if d, ok := s.divisions[name]; ok {
 			status.RegionShares = d.shares
@@ -70,8 +72,8 @@
 	out := make([]RouteStatus, 0, len(s.typicalByRoute))
 	for name, times := range s.typicalByRoute {
 		out = append(out, RouteStatus{
-			Route: name, FirstRankTime: time.Duration(times[firstRank].Value()), SecondRankTime: time.Duration(times[secondRank].Value()),
-			OtherRankTime: time.Duration(times[otherRank].Value()), ResidenceTime: time.Duration(s.residenceTimes[name].Value()),
+			Route: name, FirstRankTime: time.Duration(times.byRank[firstRank].Value()), SecondRankTime: time.Duration(times.byRank[secondRank].Value()),
+			OtherRankTime: time.Duration(times.byRank[otherRank].Value()), ResidenceTime: time.Duration(s.residenceTimes[name].Value()),
 		})
 	}
 	slices.SortFunc(out, func(a, b RouteStatus) int { return cmp.Compare(a.Route, b.Route) })
--- a/internal/steer/direct/tick.go
+++ b/internal/steer/direct/tick.go
@@ -144,8 +144,10 @@
 		d.requestedSlotTime = 0
 		slots, demands := s.slotsByRegion(service), s.demandByRegion(service, d)
 		s.demandRatios[service] = demandRatio(demands, slots)
+		s.ownShares[service] = s.ownShare(service)
+		s.slotPrices[service] = slotPrice(s.demandRatios[service], slots)
 		div := getOrCreate(s.divisions, service, func() *division { return &division{} })
-		if len(demands) == 0 || div.shares == nil {
+		if demands[s.settings.Region] <= 0 || div.shares == nil {
 			div.shares = divide(s.settings.Region, assumedDemands(slots), slots)
 
 			continue
@@ -169,8 +171,8 @@
 	return slots
 }
 
-// demandByRegion returns the slots of a service that the requests of each
-// region's callers need. The map is empty before the first request.
+// demandByRegion returns the slots of a service that the requests of each region's callers
+// need. A region's demand is missing until its entry VMs know how long a request takes.
 func (s *state) demandByRegion(service string, own *demand) map[string]float64 {
 	demands := map[string]float64{}
 	if own.slots.Count() > 0 {
--- /dev/null
+++ b/internal/steer/direct/wait.go
@@ -0,0 +1,88 @@
+package direct
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// This file decides how long a request waits and when it is refused. A request waits while
+// an answer is expected before its deadline, and is refused as soon as none is. A queue
+// that has not emptied for longer than a request can wait does not absorb a burst: waiting
+// in it serves no more callers, each only later. Such a queue is kept short.
+
+// waitAt returns how long a request is expected to wait for a slot of a server. The
+// requests that are at the server beyond its slots go first, and those that wait here for
+// the same server. Other entry VMs take their part of the slots that become free: each the
+// part that it holds already.
+func (s *state) waitAt(r *request, srv *server) time.Duration {
+	ahead := srv.occupied() - float64(srv.Slots) + 1
+	if !s.hasRoom(srv) {
+		ahead = max(ahead, 1) + float64(s.awaitedAhead(r, srv))/cmp.Or(s.ownShares[r.service], 1)
+	}
+
+	return time.Duration(max(ahead, 0) * srv.slowdown(s.now) * float64(s.residenceTime(r)) / float64(max(srv.Slots, 1)))
+}
+
+// awaitedAhead returns how many queued requests wait for a server and come before a request.
+func (s *state) awaitedAhead(r *request, srv *server) int {
+	n := 0
+	for _, other := range s.queue(r.service).waiting {
+		if compareRequests(other, r) >= 0 {
+			break
+		}
+		if other.awaited == srv {
+			n++
+		}
+	}
+
+	return n
+}
+
+// ownShare returns the share of the slots in use of a service that this entry VM's requests
+// hold.
+func (s *state) ownShare(service string) float64 {
+	own, all := portionsPerSlot, portionsPerSlot
+	for _, srv := range s.byService[service] {
+		own += srv.ownPortions
+		all += srv.ownPortions + srv.peerPortions
+	}
+
+	return float64(own) / float64(all)
+}
+
+// fits reports whether a duration from now ends before the request's deadline.
+func (s *state) fits(r *request, d time.Duration) bool {
+	return d <= r.deadline-s.now
+}
+
+// mayWait reports whether a request that has no slot yet waits for one.
+func (s *state) mayWait(r *request) bool {
+	return s.fits(r, r.wait) && s.fits(r, r.wait+r.answerTime) && (!s.isStanding(r) || r.wait <= s.residenceTime(r))
+}
+
+// isStanding reports whether the queue of a request's service has not been empty for longer
+// than the request could wait when it arrived.
+func (s *state) isStanding(r *request) bool {
+	q := s.queue(r.service)
+
+	return len(q.waiting) > 0 && s.now-q.busySince > r.deadline-r.arrivedAt-r.answerTime
+}
+
+// dispatchQueued sends each queued request of a service that a server takes now.
+func (s *state) dispatchQueued(service string) {
+	q, ok := s.queues[service]
+	if !ok {
+		return
+	}
+	for _, r := range slices.Clone(q.waiting) {
+		c := s.choose(r)
+		switch {
+		case c.server != nil:
+			q.remove(r)
+			s.send(r, c.server)
+		default:
+			r.awaited = c.awaited
+		}
+	}
+}
