Say in Retry-After when room is expected

What callers saw: under load each was told to come back after 0.3 of the time that it had left. A patient caller waited for seconds although slots became free all the while; one with little time came back before any was. Cause: the share was chosen so that the repeat could be told from a first try. The other waits (80 ms, 240 ms, 40 ms) followed from nothing that callers have or entry VMs measure. Evidence: TestRetryAfterFollowsTheBacklog. Before: 26 ms where the next slot is free after 50 ms; with a minute left, a third of a minute at a backlog of half a second. Change: Retry-After is the time in which the requests in slots and in the queue are worked off (Little's law), or until a server may get requests again, or until the next slot where another entry VM or server may have room; a random part of the backlog more. If room is expected in time, the caller is never asked to wait until no time is left for the work. Why it works: the answer follows from the backlog and the slots, for every caller alike.

--- a/internal/steer/direct/retryafter.go
+++ b/internal/steer/direct/retryafter.go
@@ -6,42 +6,42 @@
 )
 
 const (
-	// minRetryAfter is the least time after which a refused caller is asked to come back,
-	// unless quickRetryJitter applies. A random part of retryAfterJitter is added, so that
-	// callers do not return together.
-	minRetryAfter    = 80 * time.Millisecond
-	retryAfterJitter = 240 * time.Millisecond
-	// quickRetryJitter spreads the return of callers that are asked to come back at once,
-	// because another server may serve them. It is less than a network round trip between
-	// regions.
-	quickRetryJitter = 40 * time.Millisecond
-	// retryAfterShare is the share of the time until the deadline that a refused caller is
-	// asked to wait when slots are scarce. Callers wait for at most a third of the time
-	// until the deadline.
-	retryAfterShare = 0.3
-	// scarceDemandRatio is the demand for a service, relative to its slots, above which
-	// slots are scarce.
-	scarceDemandRatio = 0.6
+	// minRetryAfter is the shortest Retry-After, which has a resolution of a millisecond.
+	minRetryAfter = time.Millisecond
+	// reportPause is the time between two reports of other entry VMs. A caller that is
+	// refused for want of room finds the same room until the next report.
+	reportPause = 100 * time.Millisecond
 )
 
-// retryAfter returns how long a refused caller should wait. The wait is short if a
-// server or the retry budget refused the request, or if the caller should go to another
-// entry VM.
+// retryAfter returns how long a refused caller should wait: until room for its request is
+// expected, and a random time more, so that callers do not return together. If room is
+// expected in time, the caller is not asked to wait until no time is left for the work.
 func (s *state) retryAfter(r *request, reason Reason) time.Duration {
-	switch reason {
-	case ReasonStopping, ReasonServerShed, ReasonRetryBudget:
-		return time.Millisecond + time.Duration(s.random.Float64()*float64(quickRetryJitter))
+	room, spread := s.roomAfter(r, reason)
+	if latest := r.deadline - s.now - r.answerTime; latest > room {
+		spread = min(spread, latest-room)
 	}
-	jitter := time.Duration(s.random.Float64() * float64(retryAfterJitter))
-	if reason == ReasonNoServer {
-		// Before a server returns, the caller would be refused again.
-		if at := s.eligibleAt(r); at > s.now && at < math.MaxInt64 {
-			return max(at-s.now, minRetryAfter) + jitter
+
+	return max(room+time.Duration(s.random.Float64()*float64(spread)), minRetryAfter)
+}
+
+// roomAfter returns how long it will probably take until there is room for a request, and
+// over what time the return of the refused callers is spread.
+func (s *state) roomAfter(r *request, reason Reason) (room, spread time.Duration) {
+	// By Little's law, the requests in slots are worked off in one residence time, and the
+	// queued ones at the same rate.
+	held := max(float64(s.heldPortions[r.service])/portionsPerSlot, 1)
+	nextSlot := time.Duration(float64(s.residenceTime(r)) / held)
+	backlog := max(s.residenceTime(r)+time.Duration(len(s.queue(r.service).waiting))*nextSlot, reportPause)
+	switch reason {
+	case ReasonStopping, ReasonServerShed, ReasonServerUnreachable, ReasonRetryBudget:
+		// Another entry VM or server may have room at once.
+		return nextSlot, nextSlot
+	case ReasonNoServer:
+		if at := s.eligibleAt(r); at < math.MaxInt64 {
+			return max(at-s.now, reportPause), backlog
 		}
 	}
-	if s.demandRatios[r.service] <= scarceDemandRatio {
-		return minRetryAfter + jitter
-	}
 
-	return max(minRetryAfter, time.Duration(retryAfterShare*float64(r.deadline-s.now))) + jitter/4
+	return backlog, backlog
 }
