Refuse a waiting request as soon as it cannot be served in time

What callers saw: a request whose server left, or before which others of a more urgent route queued, stayed in the queue until its deadline and was refused then, with no time left to return. Cause: the queue was looked through for requests that a server takes, not for those for which the expected wait no longer fits. Change: dispatchQueued gives up each request that may no longer wait, with its reason. It counts the requests ahead in one pass.

--- a/internal/steer/direct/server.go
+++ b/internal/steer/direct/server.go
@@ -61,6 +61,9 @@
 	// of the slots that this entry VM's requests take, peerPortions the part that the
 	// requests of the other entry VMs take, both in units of 1/portionsPerSlot.
 	inFlight, ownPortions, peerPortions int
+	// awaited counts the requests that wait for the server, as far as dispatchQueued has
+	// come.
+	awaited int
 	// reportedSlowdown is the slowdown in the server's last report; 1 is the usual speed.
 	reportedSlowdown   float64
 	slowdownReportedAt time.Duration
--- a/internal/steer/direct/wait.go
+++ b/internal/steer/direct/wait.go
@@ -26,6 +26,10 @@
 
 // awaitedAhead returns how many queued requests wait for a server and come before a request.
 func (s *state) awaitedAhead(r *request, srv *server) int {
+	if r.queued {
+		// dispatchQueued has counted them.
+		return srv.awaited
+	}
 	n := 0
 	for _, other := range s.queue(r.service).waiting {
 		if compareRequests(other, r) >= 0 {
@@ -69,20 +73,31 @@
 	return len(q.waiting) > 0 && s.now-q.busySince > r.deadline-r.arrivedAt-r.answerTime
 }
 
-// dispatchQueued sends each queued request of a service that a server takes now.
+// dispatchQueued sends each queued request of a service that a server takes now, and gives
+// up those for which waiting no longer helps.
 func (s *state) dispatchQueued(service string) {
 	q, ok := s.queues[service]
 	if !ok {
 		return
 	}
-	for _, r := range slices.Clone(q.waiting) {
+	waiting := slices.Clone(q.waiting)
+	for _, r := range waiting {
 		c := s.choose(r)
 		switch {
 		case c.server != nil:
 			q.remove(r)
 			s.send(r, c.server)
+		case !s.mayWait(r):
+			s.giveUp(r, s.refusalReason(r, c))
 		default:
-			r.awaited = c.awaited
+			if r.awaited = c.awaited; r.awaited != nil {
+				r.awaited.awaited++
+			}
+		}
+	}
+	for _, r := range waiting {
+		if r.awaited != nil {
+			r.awaited.awaited = 0
 		}
 	}
 }
