Follow the operators' cap on shifts between regions

What callers saw: with a max_shift below 0.15 more requests changed their region than the operators allow; with a higher one, callers were refused in a full region while others had room. Cause: the settings' max_shift was not read; 0.12 and 0.015 a second spelled out 15 % in 2 s. Four fifths are for the spillover, the rest for the division. At 0.15 both are as before. Why it works: both parts together are the cap, whatever it is.

--- a/internal/run/direct/entryvm_test.go
+++ b/internal/run/direct/entryvm_test.go
@@ -192,7 +192,7 @@
 	address := netip.MustParseAddrPort(l.Addr().String())
 	ctx, cancel := context.WithCancel(context.Background())
 	p, err := direct.New(ctx, direct.Settings{
-		Steering: steer.Settings{Name: "entry-" + ip, Zone: "z1", Region: region, RetryRatio: 0.2, RetryAllowance: 20, RetryWindow: 10 * time.Second},
+		Steering: steer.Settings{Name: "entry-" + ip, Zone: "z1", Region: region, RetryRatio: 0.2, RetryAllowance: 20, RetryWindow: 10 * time.Second, MaxShift: 0.15},
 		Requests: address, Reports: reportsPort, Tables: reportsPort + 1, LookupTTL: time.Second, GracePeriod: gracePeriod, TableMaxAge: 200 * time.Millisecond, MaxBufferedBodyBytes: 1 << 20, MaxBufferedResponseBytes: 4 << 20,
 	}, v, timer.NewSystem(), zap.New(core), metrics.New())
 	require.NoError(t, err)
--- a/internal/steer/direct/choose.go
+++ b/internal/steer/direct/choose.go
@@ -106,7 +106,7 @@
 		r.assignedRegion = assigned
 		best = s.pickServer(r, func(srv *server) bool { return srv.Region == assigned })
 	}
-	if best.server == nil || !(best.hasRoom && best.inTime) && s.spillover.allowed(s.now) {
+	if best.server == nil || !(best.hasRoom && best.inTime) && s.spillover.allowed(s.now, s.settings.MaxShift) {
 		other := s.pickServer(r, func(srv *server) bool { return !hasRegion || srv.Region != assigned })
 		if best.server == nil || other.hasRoom && other.isBetter(best) {
 			best = other
--- a/internal/steer/direct/direct.go
+++ b/internal/steer/direct/direct.go
@@ -33,6 +33,9 @@
 	// WarmupAllowance.
 	WarmupFactor    float64
 	WarmupAllowance float64
+	// MaxShift is the greatest share of a region's requests that may change the region in
+	// which they run from one spilloverWindow to the next, without a fault.
+	MaxShift float64
 }
 
 const (
--- a/internal/steer/direct/division.go
+++ b/internal/steer/direct/division.go
@@ -12,10 +12,6 @@
 	// localDemandLimit is the share of its slots that a region uses for its own callers.
 	// Requests beyond that go to regions with more free slots.
 	localDemandLimit = 0.85
-	// divisionChangePerSecond bounds the share of a region's requests that the division
-	// moves in a second. At most 15 % of the requests may move within two seconds: 12 % by
-	// maxSpilloverShare and 3 % by this bound.
-	divisionChangePerSecond = 0.015
 	// demandAlpha is the weight of one tick in the mean demand. The mean covers about the
 	// last two seconds.
 	demandAlpha = 0.06
@@ -31,6 +27,12 @@
 	slots ewma.Mean
 }
 
+// divisionChange returns the share of a region's requests that the division may move in
+// a time: what the spillover leaves of MaxShift.
+func divisionChange(maxShift float64, elapsed time.Duration) float64 {
+	return (1 - spilloverPart) * maxShift * elapsed.Seconds() / spilloverWindow.Seconds()
+}
+
 // division divides this region's requests for one service among the regions. It changes
 // slowly, so that objects stay on servers that know them.
 type division struct {
--- a/internal/steer/direct/limits_test.go
+++ b/internal/steer/direct/limits_test.go
@@ -202,37 +202,46 @@
 }
 
 // Guards against a third of a region's requests moving to other regions in the first
-// seconds, and back once the region's servers know the objects.
+// seconds, and back once the region's servers know the objects; and against steering that
+// knows one cap, whatever the operators set.
 func TestFewRequestsLeaveTheirRegionWithoutAFault(t *testing.T) {
 	t.Parallel()
-	s := &spillover{}
-	var at []time.Duration
-	now := time.Duration(0)
-	const every = 10 * time.Millisecond
-	for range 1000 {
-		now += every
-		mayLeave := s.allowed(now)
-		if mayLeave {
-			at = append(at, now)
-		}
-		s.count(now, mayLeave)
-	}
-	const inWindow = int(spilloverWindow / every)
-	for end := spilloverWindow; end <= now; end += 100 * time.Millisecond {
-		outside, outsideBefore := within(at, end, spilloverWindow), within(at, end-spilloverWindow, spilloverWindow)
-		require.LessOrEqual(t, float64(outside), maxSpilloverShare*float64(inWindow)+minSpillover+1)
-		require.LessOrEqual(t, float64(outside-outsideBefore), 0.15*float64(inWindow), "at %s", end)
-	}
-	fill := func(at time.Duration) {
-		for i := 0; s.allowed(at); i++ {
-			require.Less(t, i, inWindow, "requests leave their region without limit")
-			s.count(at, true)
-		}
+	for _, maxShift := range []float64{0.05, 0.15, 0.4} {
+		t.Run(fmt.Sprint(maxShift), func(t *testing.T) {
+			t.Parallel()
+			s := &spillover{}
+			var at []time.Duration
+			now := time.Duration(0)
+			const every = 5 * time.Millisecond
+			for range 2000 {
+				now += every
+				mayLeave := s.allowed(now, maxShift)
+				if mayLeave {
+					at = append(at, now)
+				}
+				s.count(now, mayLeave)
+			}
+			const inWindow = int(spilloverWindow / every)
+			// What the division may move in a window counts too.
+			moved := divisionChange(maxShift, spilloverWindow)
+			for end := spilloverWindow; end <= now; end += 100 * time.Millisecond {
+				outside, outsideBefore := within(at, end, spilloverWindow), within(at, end-spilloverWindow, spilloverWindow)
+				require.LessOrEqual(t, float64(outside), (maxShift-moved)*float64(inWindow)+minSpillover+1)
+				require.LessOrEqual(t, float64(outside-outsideBefore)+moved*float64(inWindow), maxShift*float64(inWindow)+minSpillover+1, "at %s", end)
+			}
+			require.NotEmpty(t, at, "no request leaves its region")
+			fill := func(at time.Duration) {
+				for i := 0; s.allowed(at, maxShift); i++ {
+					require.Less(t, i, inWindow, "requests leave their region without limit")
+					s.count(at, true)
+				}
+			}
+			fill(now)
+			s.liftLimit(now)
+			require.True(t, s.allowed(now, maxShift), "a fault lets requests go anywhere")
+			fill(now + unlimitedFor)
+		})
 	}
-	fill(now)
-	s.liftLimit(now)
-	require.True(t, s.allowed(now), "a fault lets requests go anywhere")
-	fill(now + unlimitedFor)
 }
 
 // Guards against a request that comes too soon after the previous one to a cold server,
--- a/internal/steer/direct/spillover.go
+++ b/internal/steer/direct/spillover.go
@@ -3,12 +3,12 @@
 import "time"
 
 const (
-	// maxSpilloverShare bounds the share of the requests in spilloverWindow that run
-	// outside the region that the division assigned. Together with
-	// divisionChangePerSecond, maxSpilloverShare ensures that at most 15 % of the requests
-	// move within two seconds.
-	spilloverWindow   = 2 * time.Second
-	maxSpilloverShare = 0.12
+	// spilloverWindow is the window for which the operators state Settings.MaxShift.
+	spilloverWindow = 2 * time.Second
+	// spilloverPart is the part of MaxShift that the spillover may use; the rest is for
+	// changes of the division. The spillover has the greater part because it must take up
+	// what changes within moments.
+	spilloverPart = 0.8
 	// spilloverBuckets is the number of buckets in spilloverWindow.
 	spilloverBuckets = 20
 	// minSpillover is added to the bound, so that an entry VM with few requests may send a
@@ -63,8 +63,9 @@
 	s.unlimitedUntil = now + unlimitedFor
 }
 
-// allowed reports whether another request may go outside its assigned region.
-func (s *spillover) allowed(now time.Duration) bool {
+// allowed reports whether another request may go outside its assigned region. At most the
+// share maxShift of the requests may change their region from one window to the next.
+func (s *spillover) allowed(now time.Duration, maxShift float64) bool {
 	if now < s.unlimitedUntil {
 		return true
 	}
@@ -75,5 +76,5 @@
 		outside += s.outside[i]
 	}
 
-	return float64(outside) < maxSpilloverShare*float64(sent)+minSpillover
+	return float64(outside) < spilloverPart*maxShift*float64(sent)+minSpillover
 }
--- a/internal/steer/direct/tick.go
+++ b/internal/steer/direct/tick.go
@@ -153,7 +153,7 @@
 			continue
 		}
 		if goal := divide(s.settings.Region, demands, slots); goal != nil {
-			div.moveTowards(goal, divisionChangePerSecond*elapsed.Seconds())
+			div.moveTowards(goal, divisionChange(s.settings.MaxShift, elapsed))
 		}
 	}
 }
