Divide the grace period by what must fit into it

What callers saw: a stopping entry VM kept its address for 0.4 of the grace period. With look-ups that hold for longer, callers that were still allowed to use the address found nobody; with a longer grace the VM stayed for nothing. Cause: the fractions 0.4, 0.9 and 0.94 named no reason. Change: the address is kept while a look-up holds. Why it works: each part is a time that something takes, not a share.

--- a/internal/run/direct/entryvm_test.go
+++ b/internal/run/direct/entryvm_test.go
@@ -193,7 +193,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	p, err := direct.New(ctx, direct.Settings{
 		Steering: steer.Settings{Name: "entry-" + ip, Zone: "z1", Region: region, RetryRatio: 0.2, RetryAllowance: 20, RetryWindow: 10 * time.Second, MaxShift: 0.15},
-		Requests: address, Reports: reportsPort, Tables: reportsPort + 1, LookupTTL: time.Second, GracePeriod: gracePeriod, TableMaxAge: 200 * time.Millisecond, MaxBufferedBodyBytes: 1 << 20, MaxBufferedResponseBytes: 4 << 20,
+		Requests: address, Reports: reportsPort, Tables: reportsPort + 1, LookupTTL: lookupTTL, GracePeriod: gracePeriod, TableMaxAge: 200 * time.Millisecond, MaxBufferedBodyBytes: 1 << 20, MaxBufferedResponseBytes: 4 << 20,
 	}, v, timer.NewSystem(), zap.New(core), metrics.New())
 	require.NoError(t, err)
 	e := &runningEntryVM{Process: p, view: v, address: address.String(), logs: logs, end: cancel, done: make(chan struct{})}
@@ -209,6 +209,9 @@
 	return e
 }
 
+// lookupTTL is how long callers may use the result of a lookup.
+const lookupTTL = time.Second
+
 // reportsPort is the port for reports on every entry VM's loopback address; the port for
 // tables is the next one.
 const reportsPort = 17730
--- a/internal/run/direct/stop.go
+++ b/internal/run/direct/stop.go
@@ -10,16 +10,14 @@
 )
 
 const (
-	// minStopFraction is the part of the grace period that Stop always waits. Meanwhile
-	// new connections are accepted and closed without a response, so that their callers
-	// look up other entry VMs. maxStopFraction is the part of the grace period after
-	// which Stop abandons the remaining requests.
-	minStopFraction = 0.4
-	maxStopFraction = 0.94
-	// answerFraction is the part of the grace period after which the attempts in flight end
-	// and their callers are told so. What is left until maxStopFraction is for writing these
-	// answers, and those that wait behind them on the same connections.
-	answerFraction = 0.9
+	// endTime is reserved for the end of the process, and answerTime before that for the
+	// answers to the attempts that are broken off and those that wait behind them on the
+	// same connections. A late processor takes several ticks for either.
+	endTime    = 300 * time.Millisecond
+	answerTime = 500 * time.Millisecond
+	// maxReservedPart bounds both as a part of the grace period. Only at its end may the
+	// platform's entry VMs break off what a server is working at.
+	maxReservedPart = 1.0 / 6
 	// withdrawTimeout bounds the deletion of the announcement.
 	withdrawTimeout = time.Second
 	// stopPollInterval is the interval at which Stop checks whether it may return.
@@ -33,7 +31,7 @@
 	start := p.clock.Now()
 	p.stopping.Store(true)
 	p.mu.Lock()
-	gracePeriod := p.settings.GracePeriod
+	gracePeriod, lookupTTL := p.settings.GracePeriod, p.settings.LookupTTL
 	p.mu.Unlock()
 	p.log.Info("stop requested", zap.Int("connections", p.listener.OpenConnections()))
 	p.goroutines.Go(func() {
@@ -44,11 +42,15 @@
 		}
 	})
 	p.reportNow()
-	answerBy := start + time.Duration(answerFraction*float64(gracePeriod))
+	reserved := min(endTime+answerTime, time.Duration(maxReservedPart*float64(gracePeriod)))
+	answerBy := start + gracePeriod - reserved
 	p.apply(steer.StopRequested{At: steer.At(start), AnswerBy: answerBy})
 	p.listener.Drain()
-	earliestEnd := start + time.Duration(minStopFraction*float64(gracePeriod))
-	latestEnd := start + time.Duration(maxStopFraction*float64(gracePeriod))
+	// Callers may use the result of their last lookup for lookupTTL. Meanwhile new
+	// connections are accepted and closed without a response, so that their callers look up
+	// other entry VMs.
+	earliestEnd := start + min(lookupTTL, gracePeriod-reserved)
+	latestEnd := start + gracePeriod - min(endTime, reserved/2)
 	for now := range p.clock.Subscribe(ctx, stopPollInterval) {
 		if now >= answerBy {
 			p.endAttempts()
--- a/internal/run/direct/stop_test.go
+++ b/internal/run/direct/stop_test.go
@@ -145,3 +145,15 @@
 	}
 	require.Zero(t, s.runs.Load())
 }
+
+// Guards against a process that ends while callers may still use the lookups that named it:
+// they would find nobody at its address.
+func TestStopListensAsLongAsLookupsHold(t *testing.T) {
+	t.Parallel()
+	s := newServer(t, ok)
+	e := startEntryVM(t, newDeployment(s.listed("server", "z1")), "127.0.0.44", stopGrace)
+	waitUntilReady(t, e)
+	start := time.Now()
+	<-stopping(t, e)
+	require.GreaterOrEqual(t, time.Since(start), lookupTTL)
+}
