Take the time left and the Retry-After of the runtime from the settings

What callers saw: a caller that states no deadline was broken off after 30 s although its route allows more; refused while an entry VM starts, all came back after exactly 0.3 s. Cause: two constants in place of the route's timeout and of the time between two reads of the tables. Change: the route's timeout stands in for a deadline that is not stated; 30 s are assumed only where neither exists. Refusals before there is a configuration, or for want of memory, name one to two times TableMaxAge, at random. Why it works: both come from the operators.

--- a/internal/run/direct/entryvm_test.go
+++ b/internal/run/direct/entryvm_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -461,3 +462,23 @@
 	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
 	require.NotEmpty(t, resp.Header.Get("Retry-After"))
 }
+
+// Guards against a request that is broken off after an assumed time although its caller
+// states none and its route's timeout is longer.
+func TestRequestWithoutDeadlineHasTheRoutesTimeout(t *testing.T) {
+	t.Parallel()
+	stated := make(chan string, 1)
+	s := newServer(t, func(w http.ResponseWriter, r *http.Request) {
+		stated <- r.Header.Get(names.Deadline)
+		ok(w, r)
+	})
+	d := newDeployment(s.listed("server", "z1"))
+	d.routeTimeout = 2 * time.Minute
+	e := startEntryVM(t, d, "127.0.0.45", stopGrace)
+	waitUntilReady(t, e)
+	resp, _ := sendRequest(t, e.address, http.MethodGet, "/read/1")
+	require.Equal(t, http.StatusOK, resp.StatusCode)
+	left, err := strconv.Atoi(<-stated)
+	require.NoError(t, err)
+	require.Greater(t, left, 90_000)
+}
--- a/internal/run/direct/serve.go
+++ b/internal/run/direct/serve.go
@@ -1,7 +1,9 @@
 package direct
 
 import (
+	"cmp"
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
@@ -15,12 +17,9 @@
 )
 
 const (
-	// defaultPatience is how long a caller is assumed to wait if its request does not
-	// state its patience.
-	defaultPatience = 30 * time.Second
-	// refusalRetryAfter is the Retry-After of refusals that the reducer does not decide:
-	// there is no configuration yet, or no memory for the body.
-	refusalRetryAfter = 300 * time.Millisecond
+	// unstatedPatience is how long a caller is assumed to wait if neither its request nor
+	// the route says so.
+	unstatedPatience = 30 * time.Second
 	// maxPendingEffects is the capacity of a request's channel of effects, so that
 	// delivery never blocks: at most a Hold and the effect that ends it are pending.
 	maxPendingEffects = 4
@@ -50,13 +49,13 @@
 // has left.
 func (p *Process) Serve(exchange *http1.Exchange) {
 	if exchange.BodyRefused {
-		p.refuse(exchange, steer.ReasonMemory, refusalRetryAfter)
+		p.refuse(exchange, steer.ReasonMemory, p.retryAfter())
 
 		return
 	}
 	current := p.intent.Load()
 	if current == nil {
-		p.refuse(exchange, steer.ReasonNoConfiguration, refusalRetryAfter)
+		p.refuse(exchange, steer.ReasonNoConfiguration, p.retryAfter())
 
 		return
 	}
@@ -70,10 +69,8 @@
 	}
 	p.noteRequest()
 	now := p.clock.Now()
-	patience := exchange.Patience
-	if patience <= 0 {
-		patience = defaultPatience
-	}
+	// The reducer applies the route's timeout as well.
+	patience := cmp.Or(exchange.Patience, route.Timeout, unstatedPatience)
 	r := &activeRequest{Process: p, exchange: exchange, route: route.Name, configVersion: current.Version, arrivedAt: now, effects: make(chan steer.Effect, maxPendingEffects)}
 	p.mu.Lock()
 	p.lastID++
@@ -93,6 +90,16 @@
 	p.mu.Unlock()
 }
 
+// retryAfter returns the Retry-After of refusals that the reducer does not decide: there is
+// no configuration yet, or no memory for the body. By then the tables have been read again
+// and most bodies of now are gone; a random part more spreads the callers.
+func (p *Process) retryAfter() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	return p.settings.TableMaxAge + time.Duration(rand.Float64()*float64(p.settings.TableMaxAge)) //nolint:gosec // Spreads callers.
+}
+
 // run performs the reducer's effects for the request until it is answered or its caller
 // has left.
 func (r *activeRequest) run() {
