Lift the cap on shifts for as long as the settings say that a fault lasts

What callers saw: nothing on the deployments in force, whose contact_s is 3 and 4 s; with a shorter one requests changed their region when the cap already held again. Cause: the cap was lifted for 5 s after each sign of a fault, whatever the operators set. Why it works: the cap holds again exactly when the operators count the fault as over.

--- a/internal/steer/direct/attempt.go
+++ b/internal/steer/direct/attempt.go
@@ -122,7 +122,7 @@
 	case e.Outcome == NotRun:
 		srv.avoidUntil = max(srv.avoidUntil, s.now+shedPause)
 	case e.Outcome == NotSent, e.Outcome == Unknown && !e.TimedOut:
-		s.spillover.liftLimit(s.now)
+		s.spillover.liftLimit(s.now + s.settings.FaultTime)
 		srv.recordFailure(s.now)
 		if e.Outcome == NotSent || srv.consecutiveFailures > 1 {
 			srv.needsProbe = true
--- a/internal/steer/direct/direct.go
+++ b/internal/steer/direct/direct.go
@@ -36,6 +36,9 @@
 	// MaxShift is the greatest share of a region's requests that may change the region in
 	// which they run from one spilloverWindow to the next, without a fault.
 	MaxShift float64
+	// FaultTime is how long a fault may show its effects after its last sign. MaxShift does
+	// not hold meanwhile.
+	FaultTime time.Duration
 }
 
 const (
@@ -186,7 +189,7 @@
 		s.serversChanged(e.Servers)
 	case EvacuatedZonesChanged:
 		if e.Zones.Len() != s.evacuatedZones.Len() {
-			s.spillover.liftLimit(s.now)
+			s.spillover.liftLimit(s.now + s.settings.FaultTime)
 		}
 		s.evacuatedZones = e.Zones
 	case EntryVMsChanged:
--- a/internal/steer/direct/fate_test.go
+++ b/internal/steer/direct/fate_test.go
@@ -34,7 +34,7 @@
 	}
 	for i := range tw.states {
 		tw.states[i] = direct.New(direct.Settings{
-			Name: "entry", Zone: "z", Region: "r0", Seed: 7, RetryRatio: 0.2, RetryAllowance: 30, RetryWindow: 10 * time.Second, MaxShift: 0.15,
+			Name: "entry", Zone: "z", Region: "r0", Seed: 7, RetryRatio: 0.2, RetryAllowance: 30, RetryWindow: 10 * time.Second, MaxShift: 0.15, FaultTime: 4 * time.Second,
 		})
 		in := intent.New(1, []intent.Route{routes[i]}, map[string]intent.Service{"s": {Name: "s", HealthPath: "/health"}}, intent.Limits{})
 		tw.applyTo(i, direct.IntentChanged{Intent: in})
--- a/internal/steer/direct/invariants_test.go
+++ b/internal/steer/direct/invariants_test.go
@@ -53,7 +53,7 @@
 		leavingServers: set.New[string](), pauses: map[string]time.Duration{},
 		state: direct.New(direct.Settings{
 			Name: "entry", Zone: "z0", Region: "r0", Seed: 7, RetryRatio: 0.2, RetryAllowance: 30,
-			RetryWindow: 10 * time.Second, MaxShift: 0.15, WarmupFactor: 1.5, WarmupAllowance: 5,
+			RetryWindow: 10 * time.Second, MaxShift: 0.15, FaultTime: 4 * time.Second, WarmupFactor: 1.5, WarmupAllowance: 5,
 		}),
 	}
 	for i, idempotent := range []bool{true, false} {
--- a/internal/steer/direct/limits_test.go
+++ b/internal/steer/direct/limits_test.go
@@ -237,9 +237,9 @@
 				}
 			}
 			fill(now)
-			s.liftLimit(now)
+			s.liftLimit(now + time.Second)
 			require.True(t, s.allowed(now, maxShift), "a fault lets requests go anywhere")
-			fill(now + unlimitedFor)
+			fill(now + time.Second)
 		})
 	}
 }
--- a/internal/steer/direct/notice.go
+++ b/internal/steer/direct/notice.go
@@ -79,7 +79,7 @@
 		return
 	}
 	srv.Leaving = true
-	s.spillover.liftLimit(s.now)
+	s.spillover.liftLimit(s.now + s.settings.FaultTime)
 	s.emit(CloseIdle{Server: srv.Server})
 	s.emit(LogServerState{Server: srv.ID, State: "leaving", Cause: cause})
 }
--- a/internal/steer/direct/script_test.go
+++ b/internal/steer/direct/script_test.go
@@ -63,7 +63,7 @@
 		Name: "route", Host: "h", Prefix: "/", Target: time.Second, Timeout: 3 * time.Second, MaxAttempts: 3,
 		ServiceWeights: []intent.ServiceWeight{{Service: "s", Weight: 1}},
 	}
-	f.state = direct.New(direct.Settings{Name: "entry", Zone: "z", Region: "r", Seed: 1, RetryRatio: 0.2, RetryAllowance: 100, RetryWindow: 10 * time.Second, MaxShift: 0.15})
+	f.state = direct.New(direct.Settings{Name: "entry", Zone: "z", Region: "r", Seed: 1, RetryRatio: 0.2, RetryAllowance: 100, RetryWindow: 10 * time.Second, MaxShift: 0.15, FaultTime: 4 * time.Second})
 	in := intent.New(1, []intent.Route{f.route}, map[string]intent.Service{"s": {Name: "s", HealthPath: "/health"}}, intent.Limits{})
 	f.state, _ = direct.Reduce(f.state, direct.IntentChanged{Intent: in})
 
--- a/internal/steer/direct/simulation_test.go
+++ b/internal/steer/direct/simulation_test.go
@@ -330,7 +330,7 @@
 	for i, name := range names {
 		e := &entry{region: i / sc.Entries, state: direct.New(direct.Settings{
 			Name: name, Zone: region(i / sc.Entries), Region: region(i / sc.Entries), Seed: uint64(i),
-			RetryRatio: 0.2, RetryAllowance: 50, RetryWindow: 10 * time.Second, MaxShift: 0.15,
+			RetryRatio: 0.2, RetryAllowance: 50, RetryWindow: 10 * time.Second, MaxShift: 0.15, FaultTime: 4 * time.Second,
 		})}
 		sim.entries = append(sim.entries, e)
 		sim.apply(e, direct.IntentChanged{Intent: in})
--- a/internal/steer/direct/spillover.go
+++ b/internal/steer/direct/spillover.go
@@ -14,10 +14,6 @@
 	// minSpillover is added to the bound, so that an entry VM with few requests may send a
 	// request to another region at times.
 	minSpillover = 1
-	// unlimitedFor is how long the bound is lifted after a failure or a change of the
-	// servers. Requests then go wherever there is room: the fault moves them, not the
-	// steering.
-	unlimitedFor = 5 * time.Second
 )
 
 // spillover counts the requests sent in spilloverWindow, and how many of them went
@@ -28,7 +24,8 @@
 	bucket  int64
 	sent    [spilloverBuckets]int
 	outside [spilloverBuckets]int
-	// unlimitedUntil is the time until which requests may go to any region.
+	// unlimitedUntil is the time until which requests may go to any region: then the fault
+	// moves them, not the steering.
 	unlimitedUntil time.Duration
 }
 
@@ -58,9 +55,9 @@
 	}
 }
 
-// liftLimit lets requests go to any region for unlimitedFor.
-func (s *spillover) liftLimit(now time.Duration) {
-	s.unlimitedUntil = now + unlimitedFor
+// liftLimit lets requests go to any region until a time.
+func (s *spillover) liftLimit(until time.Duration) {
+	s.unlimitedUntil = max(s.unlimitedUntil, until)
 }
 
 // allowed reports whether another request may go outside its assigned region. At most the
--- a/internal/steer/direct/tick.go
+++ b/internal/steer/direct/tick.go
@@ -35,7 +35,7 @@
 		} else {
 			leaving := srv.Leaving || listed.Leaving
 			if leaving && !srv.Leaving {
-				s.spillover.liftLimit(s.now)
+				s.spillover.liftLimit(s.now + s.settings.FaultTime)
 			}
 			srv.Server = listed
 			srv.Leaving = leaving
@@ -48,7 +48,7 @@
 	}
 	for id, srv := range s.servers {
 		if _, ok := byID[id]; !ok {
-			s.spillover.liftLimit(s.now)
+			s.spillover.liftLimit(s.now + s.settings.FaultTime)
 			// The result of a probe in flight finds no server.
 			srv.unlistedAt, srv.probing = s.now, false
 			s.unlisted[srv.incarnation] = srv
