Leave a server alone until it has room again after a refusal

What callers saw: a server that refused a request as full got the next one 60 ms later, and refused that too; callers came back or failed although another server had room. Cause: the pause was 60 ms whatever the work takes. Change: the pause is the measured time at a server by its slots and slowdown. Why it works: after that time the server has probably completed a request.

--- a/internal/steer/direct/attempt.go
+++ b/internal/steer/direct/attempt.go
@@ -120,7 +120,9 @@
 		srv.Leaving = true
 		s.emit(LogServerState{Server: srv.ID, State: "gone", Cause: "another server has its address"})
 	case e.Outcome == NotRun:
-		srv.avoidUntil = max(srv.avoidUntil, s.now+shedPause)
+		// By then the server has probably completed one of its requests.
+		pause := time.Duration(srv.slowdown(s.now) * float64(s.residenceTime(r)) / float64(max(srv.Slots, 1)))
+		srv.avoidUntil = max(srv.avoidUntil, s.now+max(pause, minProcessingTime))
 	case e.Outcome == NotSent, e.Outcome == Unknown && !e.TimedOut:
 		s.spillover.liftLimit(s.now + s.settings.FaultTime)
 		srv.recordFailure(s.now)
--- a/internal/steer/direct/server.go
+++ b/internal/steer/direct/server.go
@@ -20,9 +20,6 @@
 	// minBackoff and maxBackoff bound how long a failing server is avoided.
 	minBackoff = 400 * time.Millisecond
 	maxBackoff = 4 * time.Second
-	// shedPause is how long a server that refused a request gets no other request: about
-	// the time until the server completes one of its requests.
-	shedPause = 60 * time.Millisecond
 	// lostReportFor is how long a server that failed a request and a probe is reported to
 	// the other entry VMs. It covers several reports, because the network may drop one.
 	lostReportFor = 1500 * time.Millisecond
