Keep free in each region what its demand may vary by

What callers saw: in a region with few slots requests waited although other regions had room; in a large region they were sent away although a hundred slots were free. Cause: 0.85 of the slots, however many, were for a region's own callers. Evidence: TestRegionsKeepTheirRequestsWhileFewWait: before, a region with 4 slots and a demand of 3.2 keeps all requests. Change: square-root staffing (Halfin and Whitt): the square root of the slots stays free. Why it works: demand varies by about the square root of its size.

--- a/internal/steer/direct/division.go
+++ b/internal/steer/direct/division.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -8,14 +9,9 @@
 	"github.com/greengagetally/greengagetally/internal/value/ewma"
 )
 
-const (
-	// localDemandLimit is the share of its slots that a region uses for its own callers.
-	// Requests beyond that go to regions with more free slots.
-	localDemandLimit = 0.85
-	// demandAlpha is the weight of one tick in the mean demand. The mean covers about the
-	// last two seconds.
-	demandAlpha = 0.06
-)
+// demandAlpha is the weight of one tick in the mean demand. The mean covers about the last
+// two seconds.
+const demandAlpha = 0.06
 
 // demand is the number of slots of one service that the requests of this entry VM's
 // callers need, whether or not they are served.
@@ -127,6 +123,13 @@
 	return totalDemand / totalSlots
 }
 
+// usableShare returns the share of a number of slots that can be in use while requests
+// seldom wait (square-root staffing, after Halfin and Whitt): the square root of the number
+// is kept free, because the demand varies by about as much.
+func usableShare(slots float64) float64 {
+	return 1 - 1/math.Sqrt(max(slots, 1))
+}
+
 // assumedDemands returns the demand of each region that is assumed before the first
 // request. All regions get the same demand. Its sum is near what all servers can carry,
 // so that the division need not change much afterwards.
@@ -137,15 +140,15 @@
 	}
 	demands := make(map[string]float64, len(slots))
 	for region := range slots {
-		demands[region] = localDemandLimit * totalSlots / float64(len(slots))
+		demands[region] = usableShare(totalSlots) * totalSlots / float64(len(slots))
 	}
 
 	return demands
 }
 
 // divide returns the share of the own region's requests that each region should serve.
-// The own region serves the requests that fit into a share of its slots:
-// localDemandLimit, or the demand ratio of all regions if that is higher. The other
+// The own region serves the requests that fit into the usableShare of its slots, or into
+// the demand ratio of all regions if that is higher. The other
 // regions serve the rest in proportion to their free slots. divide returns nil if there
 // are no slots.
 func divide(ownRegion string, demands, slots map[string]float64) map[string]float64 {
@@ -156,9 +159,12 @@
 	if totalSlots == 0 {
 		return nil
 	}
-	limit := max(localDemandLimit, demandRatio(demands, slots))
+	ratio := demandRatio(demands, slots)
+	limit := func(region string) float64 {
+		return slots[region] * max(usableShare(slots[region]), ratio)
+	}
 	localDemand := func(region string) float64 {
-		return min(demands[region], slots[region]*limit)
+		return min(demands[region], limit(region))
 	}
 	ownDemand := demands[ownRegion]
 	if ownDemand <= 0 {
@@ -169,9 +175,9 @@
 	}
 	shares := map[string]float64{}
 	freeSlots := 0.0
-	for region, n := range slots {
+	for region := range slots {
 		if region != ownRegion {
-			freeSlots += max(n*limit-localDemand(region), 0)
+			freeSlots += max(limit(region)-localDemand(region), 0)
 		}
 	}
 	localShare := min(localDemand(ownRegion)/ownDemand, 1)
@@ -183,7 +189,7 @@
 		case region == ownRegion:
 			shares[region] = localShare
 		case freeSlots > 0:
-			shares[region] = (1 - localShare) * max(n*limit-localDemand(region), 0) / freeSlots
+			shares[region] = (1 - localShare) * max(limit(region)-localDemand(region), 0) / freeSlots
 		default:
 			shares[region] = (1 - localShare) * n / totalSlots
 		}
--- a/internal/steer/direct/limits_test.go
+++ b/internal/steer/direct/limits_test.go
@@ -311,3 +311,14 @@
 		})
 	}
 }
+
+// Guards against a small region that sends no request away until its slots are nearly full,
+// where each request waits, and against a large one that sends requests away although many
+// of its slots are free.
+func TestRegionsKeepTheirRequestsWhileFewWait(t *testing.T) {
+	t.Parallel()
+	small := divide("own", map[string]float64{"own": 3.2, "other": 1}, map[string]float64{"own": 4, "other": 100})
+	require.Less(t, small["own"], 0.8)
+	large := divide("own", map[string]float64{"own": 1480, "other": 800}, map[string]float64{"own": 1600, "other": 1600})
+	require.InDelta(t, 1, large["own"], 1e-9)
+}
