Refuse a request at once if none of its servers fits

What callers saw: a request waited although the only server with room was too slow for its time left, and the others had no room in time; it was refused when its time was up. Cause: the wait and the work that had to fit were those of two different servers. Change: both are those of the best server. A server that costs others more than the caller has left is no candidate at all, and an object is taken for unknown in other regions only while a server of its own region may get the request. Why it works: what is waited for is what was found to fit.

--- a/internal/steer/direct/choose.go
+++ b/internal/steer/direct/choose.go
@@ -61,11 +61,11 @@
 	// hasRoom is true when the server takes the request now. inTime is true when the
 	// response is expected before the request's deadline.
 	hasRoom, inTime bool
-	// cost is the expected time until the response, with the wait for room, and the time
-	// that other requests wait for the slot.
+	// wait is the expected time until the request gets a slot, answerTime that from then to
+	// the response.
+	wait, answerTime time.Duration
+	// cost is the sum of both and of the time that other requests wait for the slot.
 	cost time.Duration
-	// wait is the expected time until the request gets a slot.
-	wait time.Duration
 }
 
 // isBetter reports whether a request should rather go to c than to another candidate.
@@ -100,14 +100,15 @@
 	if d := s.divisions[r.service]; d != nil {
 		assigned, hasRegion = d.regionAt(r.divisionPoint, ownRegion, r.permits)
 	}
-	r.assignedRegion, r.answerTime = "", math.MaxInt64
+	r.assignedRegion = ""
 	var best candidate
 	if hasRegion {
 		r.assignedRegion = assigned
-		best = s.pickServer(r, func(srv *server) bool { return srv.Region == assigned })
+		best = s.pickServer(r, true, func(srv *server) bool { return srv.Region == assigned })
 	}
-	if best.server == nil || !(best.hasRoom && best.inTime) && s.spillover.allowed(s.now, s.settings.MaxShift) {
-		other := s.pickServer(r, func(srv *server) bool { return !hasRegion || srv.Region != assigned })
+	if best.server == nil || (!best.hasRoom || !best.inTime) && s.spillover.allowed(s.now, s.settings.MaxShift) {
+		// The division keeps the object in its assigned region, if a server there may get it.
+		other := s.pickServer(r, best.server == nil, func(srv *server) bool { return !hasRegion || srv.Region != assigned })
 		if best.server == nil || other.hasRoom && other.isBetter(best) {
 			best = other
 		}
@@ -117,7 +118,7 @@
 
 		return choice{}
 	}
-	r.wait = best.wait
+	r.wait, r.answerTime = best.wait, best.answerTime
 	if best.hasRoom && (best.inTime || s.trialDue(r)) {
 		return choice{server: best.server, eligible: true}
 	}
@@ -132,8 +133,8 @@
 }
 
 // pickServer returns the best candidate for a request among the servers for which fits
-// returns true.
-func (s *state) pickServer(r *request, fits func(*server) bool) (best candidate) {
+// returns true. mayKnow is false if none of them knows the object of the request.
+func (s *state) pickServer(r *request, mayKnow bool, fits func(*server) bool) (best candidate) {
 	var first, second *server
 	var firstWeight, secondWeight uint64
 	for _, srv := range s.byService[r.service] {
@@ -147,7 +148,10 @@
 		}
 	}
 	consider := func(srv *server, k rank) {
-		if c := s.candidate(r, srv, k); c.isBetter(best) {
+		if !mayKnow {
+			k = otherRank
+		}
+		if c := s.candidate(r, srv, k); c.isBetter(best) && s.isWorthSlot(r, c, k) {
 			best = c
 		}
 	}
@@ -172,21 +176,10 @@
 
 // candidate returns a server as a candidate for a request.
 func (s *state) candidate(r *request, srv *server, k rank) candidate {
-	if r.assignedRegion != "" && srv.Region != r.assignedRegion {
-		// The division keeps the object in its assigned region.
-		k = otherRank
-	}
 	processing := s.processingTime(r, srv, k)
-	answerTime := s.roundTrip(srv.Region) + processing
-	r.answerTime = min(r.answerTime, answerTime)
-	c := candidate{server: srv, hasRoom: s.hasRoom(srv), wait: s.waitAt(r, srv)}
-	c.inTime = s.fits(r, c.wait+answerTime)
-	if r.route.Sticky && k == otherRank && !s.fits(r, time.Duration(s.slotPrices[r.service]*float64(processing))) {
-		// On a server that does not know the object, the request would cost the callers of
-		// others more time than its own caller has.
-		c.inTime = false
-	}
-	c.cost = c.wait + answerTime + time.Duration(s.slotPrices[r.service]*float64(processing))
+	c := candidate{server: srv, hasRoom: s.hasRoom(srv), wait: s.waitAt(r, srv), answerTime: s.roundTrip(srv.Region) + processing}
+	c.inTime = s.fits(r, c.wait+c.answerTime)
+	c.cost = c.wait + c.answerTime + time.Duration(s.slotPrices[r.service]*float64(processing))
 	if srv.failsOften() {
 		c.cost += time.Duration(failureCostFactor * float64(processing))
 	}
@@ -194,6 +187,13 @@
 	return c
 }
 
+// isWorthSlot reports whether a request may take a slot of a candidate of rank k. On a server
+// that does not know the object it must cost the callers of other requests less time than
+// its own caller has left.
+func (s *state) isWorthSlot(r *request, c candidate, k rank) bool {
+	return !r.route.Sticky || k != otherRank || s.fits(r, time.Duration(s.slotPrices[r.service]*float64(s.processingTime(r, c.server, k))))
+}
+
 // hasRoom reports whether a server takes another request now.
 func (s *state) hasRoom(srv *server) bool {
 	return !srv.isFull() && srv.inFlight < s.maxConnections(srv.Service)
--- a/internal/steer/direct/request.go
+++ b/internal/steer/direct/request.go
@@ -42,8 +42,8 @@
 	wasShed bool
 	// awaited is the server for which a queued request waits, nil if there is none.
 	awaited *server
-	// wait is how long the request was last expected to wait for a slot. answerTime is the
-	// shortest time from then to the answer that was last expected at one of its servers.
+	// wait is how long the request was last expected to wait for a slot at its best server,
+	// and answerTime the time from then to the response.
 	wait, answerTime time.Duration
 	mayHaveRun       bool
 }
--- a/internal/steer/direct/retryafter.go
+++ b/internal/steer/direct/retryafter.go
@@ -33,14 +33,12 @@
 	held := max(float64(s.heldPortions[r.service])/portionsPerSlot, 1)
 	nextSlot := time.Duration(float64(s.residenceTime(r)) / held)
 	backlog := max(s.residenceTime(r)+time.Duration(len(s.queue(r.service).waiting))*nextSlot, reportPause)
-	switch reason {
-	case ReasonStopping, ReasonServerShed, ReasonServerUnreachable, ReasonRetryBudget:
+	if reason == ReasonStopping || reason == ReasonServerShed || reason == ReasonServerUnreachable || reason == ReasonRetryBudget {
 		// Another entry VM or server may have room at once.
 		return nextSlot, nextSlot
-	case ReasonNoServer:
-		if at := s.eligibleAt(r); at < math.MaxInt64 {
-			return max(at-s.now, reportPause), backlog
-		}
+	}
+	if at := s.eligibleAt(r); reason == ReasonNoServer && at < math.MaxInt64 {
+		return max(at-s.now, reportPause), backlog
 	}
 
 	return backlog, backlog
--- a/internal/steer/direct/retryafter_test.go
+++ b/internal/steer/direct/retryafter_test.go
@@ -48,3 +48,35 @@
 		}
 	}
 }
+
+// Guards against a request that waits until its time is up, because a server that is too
+// slow for it has room, and a fast one has none in time.
+func TestRequestIsRefusedIfNoServerFits(t *testing.T) {
+	t.Parallel()
+	route := intent.Route{Name: "route", Idempotent: true, MaxAttempts: 2, ServiceWeights: []intent.ServiceWeight{{Service: "x", Weight: 1}}}
+	for name, c := range map[string]struct {
+		left time.Duration
+		want Effect
+	}{
+		"no server is in time": {left: 2 * time.Second, want: Refuse{}},
+		"the slow one is":      {left: 3 * time.Second, want: Send{}},
+		"no server ever was":   {left: 300 * time.Millisecond, want: Refuse{}},
+		"the time is up":       {left: 0, want: Refuse{}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := New(Settings{Name: "a", Region: "r", RetryWindow: time.Second})
+			s, _ = Reduce(s, ServersChanged{Servers: []Server{
+				{ID: "fast", Address: "f", Service: "x", Region: "r", Slots: 1}, {ID: "slow", Address: "s", Service: "x", Region: "r", Slots: 1},
+			}})
+			times := s.typicalTimes(&request{route: route})
+			times.byRank[otherRank], times.lastSentAt = times.byRank[otherRank].With(float64(msec(500)), typicalPercentile, typicalStep), 0
+			s.residenceTimes["route"] = s.residenceTimes["route"].With(float64(msec(1500)), residenceAlpha)
+			s.servers["fast"].peerPortions = 2 * portionsPerSlot
+			// The work takes 2.2 s there. At the fast one, 0.5 s follow after a wait of 3 s.
+			s.servers["slow"].reportedSlowdown = 4.4
+			_, effects := Reduce(s, RequestArrived{At: At(msec(100)), ID: 1, Route: route, Deadline: msec(100) + c.left})
+			require.IsType(t, c.want, effects[0], "%+v", effects)
+		})
+	}
+}
