Decide the same for the same events

Cause: queues of services were gone through in the order of a map. Since requests are refused there, the random part of Retry-After differed; sums of shares differed in their rounding. Evidence: TestDecisionsRepeat: twins with equal events and two services differ; before, it fails in each run. Change: maps are gone through in the order of their keys wherever effects, random numbers or rounding follow. The twins of the other two properties have two services as well. Why it works: the reducer is a function of its events and its seed.

--- a/internal/steer/direct/direct.go
+++ b/internal/steer/direct/direct.go
@@ -1,8 +1,10 @@
 package direct
 
 import (
+	"maps"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -429,6 +431,12 @@
 	return getOrCreate(s.retryBudgets, service, func() *retryBudget { return &retryBudget{bucketWidth: s.settings.RetryWindow / budgetBuckets} })
 }
 
+// sortedKeys returns the keys of a map in an order that does not change: effects, random
+// numbers and the rounding of sums must follow from the events alone.
+func sortedKeys[V any](m map[string]V) []string {
+	return slices.Sorted(maps.Keys(m))
+}
+
 // getOrCreate returns the value at key and creates the value on first use.
 func getOrCreate[V any](m map[string]*V, key string, create func() *V) *V {
 	v, ok := m[key]
--- a/internal/steer/direct/division.go
+++ b/internal/steer/direct/division.go
@@ -54,8 +54,8 @@
 		}
 	}
 	moved := 0.0
-	for region, share := range goal {
-		moved += max(share-d.shares[region], 0)
+	for _, region := range sortedKeys(goal) {
+		moved += max(goal[region]-d.shares[region], 0)
 	}
 	if moved <= maxMoved {
 		d.shares = goal
@@ -76,8 +76,8 @@
 func (d *division) regionAt(point float64, ownRegion string, permitted func(string) bool) (string, bool) {
 	regions := make([]string, 0, len(d.shares))
 	total := 0.0
-	for region, share := range d.shares {
-		if share > 0 && permitted(region) {
+	for _, region := range sortedKeys(d.shares) {
+		if share := d.shares[region]; share > 0 && permitted(region) {
 			regions = append(regions, region)
 			total += share
 		}
@@ -110,8 +110,8 @@
 // are no slots.
 func demandRatio(demands, slots map[string]float64) float64 {
 	totalDemand, totalSlots := 0.0, 0.0
-	for _, n := range demands {
-		totalDemand += n
+	for _, region := range sortedKeys(demands) {
+		totalDemand += demands[region]
 	}
 	for _, n := range slots {
 		totalSlots += n
@@ -175,7 +175,7 @@
 	}
 	shares := map[string]float64{}
 	freeSlots := 0.0
-	for region := range slots {
+	for _, region := range sortedKeys(slots) {
 		if region != ownRegion {
 			freeSlots += max(limit(region)-localDemand(region), 0)
 		}
--- a/internal/steer/direct/fate_test.go
+++ b/internal/steer/direct/fate_test.go
@@ -28,15 +28,17 @@
 func newTwins(routes [2]intent.Route) *twins {
 	tw := &twins{}
 	var servers []direct.Server
-	for i := range 4 {
-		id := fmt.Sprint("server-", i)
-		servers = append(servers, direct.Server{ID: id, Address: id, Service: "s", Zone: "z", Region: fmt.Sprint("r", i%2), Slots: 2})
+	services := map[string]intent.Service{}
+	for i := range 8 {
+		id, service := fmt.Sprint("server-", i), fmt.Sprint("s", i%2)
+		servers = append(servers, direct.Server{ID: id, Address: id, Service: service, Zone: "z", Region: fmt.Sprint("r", i/2%2), Slots: 1})
+		services[service] = intent.Service{Name: service, HealthPath: "/health"}
 	}
 	for i := range tw.states {
 		tw.states[i] = direct.New(direct.Settings{
 			Name: "entry", Zone: "z", Region: "r0", Seed: 7, RetryRatio: 0.2, RetryAllowance: 30, RetryWindow: 10 * time.Second, MaxShift: 0.15, FaultTime: 4 * time.Second,
 		})
-		in := intent.New(1, []intent.Route{routes[i]}, map[string]intent.Service{"s": {Name: "s", HealthPath: "/health"}}, intent.Limits{})
+		in := intent.New(1, []intent.Route{routes[i]}, services, intent.Limits{})
 		tw.applyTo(i, direct.IntentChanged{Intent: in})
 		tw.applyTo(i, direct.EntryVMsChanged{Names: []string{"entry", "other"}})
 		tw.applyTo(i, direct.ServersChanged{Servers: servers})
@@ -133,7 +135,7 @@
 
 var fateRoute = intent.Route{
 	Name: "route", Host: "h", Prefix: "/", Idempotent: true, Target: 250 * time.Millisecond, Timeout: 1500 * time.Millisecond, MaxAttempts: 2, Sticky: true,
-	ServiceWeights: []intent.ServiceWeight{{Service: "s", Weight: 1}},
+	ServiceWeights: []intent.ServiceWeight{{Service: "s0", Weight: 1}, {Service: "s1", Weight: 1}},
 }
 
 // TestFirstTriesAndRepeatsAreDecidedAlike guards against entry VMs that guess from the
@@ -180,3 +182,20 @@
 		})
 	})
 }
+
+// TestDecisionsRepeat guards against decisions that depend on more than the events, such as
+// the order of a map: a day could not be played again to find the cause of a fault.
+func TestDecisionsRepeat(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		tw := newTwins([2]intent.Route{fateRoute, fateRoute})
+		tw.live(t, func(id direct.RequestID) [2]direct.Event {
+			left := time.Duration(rapid.IntRange(1, 30).Draw(t, "time left")) * 100 * time.Millisecond
+			ev := direct.RequestArrived{
+				At: direct.At(tw.now), ID: id, Route: fateRoute, Object: fmt.Sprint(rapid.IntRange(0, 5).Draw(t, "object")), Deadline: tw.now + left,
+			}
+
+			return [2]direct.Event{ev, ev}
+		})
+	})
+}
--- a/internal/steer/direct/notice.go
+++ b/internal/steer/direct/notice.go
@@ -65,7 +65,8 @@
 	if known {
 		return
 	}
-	for _, srv := range s.servers {
+	for _, id := range sortedKeys(s.servers) {
+		srv := s.servers[id]
 		if srv.incarnation == incarnation && !srv.saidLeaving {
 			s.serverLeaves(srv, "another entry VM reported it")
 		}
--- a/internal/steer/direct/stop.go
+++ b/internal/steer/direct/stop.go
@@ -14,8 +14,8 @@
 // stopRequested refuses the queued requests that could be broken off.
 func (s *state) stopRequested(e StopRequested) {
 	s.answerBy = option.Some(e.AnswerBy)
-	for _, q := range s.queues {
-		for _, r := range slices.Clone(q.waiting) {
+	for _, service := range sortedKeys(s.queues) {
+		for _, r := range slices.Clone(s.queues[service].waiting) {
 			if !s.mayStart(r) {
 				s.giveUp(r, ReasonStopping)
 			}
--- a/internal/steer/direct/tick.go
+++ b/internal/steer/direct/tick.go
@@ -1,8 +1,6 @@
 package direct
 
 import (
-	"maps"
-	"slices"
 	"time"
 )
 
@@ -56,7 +54,7 @@
 	}
 	s.servers = byID
 	s.recountPeerPortions()
-	for service := range s.queues {
+	for _, service := range sortedKeys(s.queues) {
 		s.dispatchQueued(service)
 	}
 }
@@ -83,8 +81,8 @@
 	}
 	s.peers[e.Peer] = peerReport{Report: e.Report, receivedAt: s.now}
 	s.addPeerPortions(e.Report, 1)
-	for service, q := range s.queues {
-		if len(q.waiting) > 0 {
+	for _, service := range sortedKeys(s.queues) {
+		if len(s.queues[service].waiting) > 0 {
 			s.dispatchQueued(service)
 		}
 	}
@@ -128,7 +126,7 @@
 	s.removeExpiredNotices()
 	s.updateDivisions(elapsed)
 	s.sendProbes()
-	for service := range s.queues {
+	for _, service := range sortedKeys(s.queues) {
 		s.dispatchQueued(service)
 	}
 }
@@ -179,7 +177,7 @@
 		demands[s.settings.Region] = own.slots.Value()
 	}
 	// A fixed order keeps the rounding of the sum, and so the tests, reproducible.
-	for _, name := range slices.Sorted(maps.Keys(s.peers)) {
+	for _, name := range sortedKeys(s.peers) {
 		p := s.peers[name]
 		if n := p.Demand[service]; n > 0 {
 			demands[p.Region] += n
@@ -194,8 +192,8 @@
 	if s.intent == nil {
 		return
 	}
-	for service, servers := range s.byService {
-		for _, srv := range servers {
+	for _, service := range sortedKeys(s.byService) {
+		for _, srv := range s.byService[service] {
 			if !srv.needsProbe || srv.Leaving || srv.probing || s.now < max(srv.avoidUntil, srv.pausedUntil, srv.nextProbeAt) {
 				continue
 			}
--- a/internal/steer/intent/intent.go
+++ b/internal/steer/intent/intent.go
@@ -29,7 +29,8 @@
 	Idempotent bool
 	// Timeout is the longest time that a caller may be kept waiting; 0 is no limit.
 	Timeout time.Duration
-	// Target is the latency within which a response has its full value to the caller.
+	// Target is the latency that the operators aim at. No decision depends on it: callers
+	// say themselves how long they wait.
 	Target time.Duration
 	// MaxAttempts is the greatest number of backend servers that one request may reach; a
 	// value below 1 counts as 1.
