--- a/internal/run/direct/stop.go
+++ b/internal/run/direct/stop.go
@@ -15,8 +15,8 @@
 	// same connections. A late processor takes several ticks for either.
 	endTime    = 300 * time.Millisecond
 	answerTime = 500 * time.Millisecond
-	// maxReservedPart bounds both as a part of the grace period. Only at its end may the
-	// platform's entry VMs break off what a server is working at.
+	// maxReservedPart bounds both as a part of the grace period: before its last sixth, the
+	// rules of the platform allow no request to be broken off while a server works at it.
 	maxReservedPart = 1.0 / 6
 	// withdrawTimeout bounds the deletion of the announcement.
 	withdrawTimeout = time.Second
