Look at each server of a choice once

Cause: each choice looked at all servers of the service twice, asked for the times of the route by name for each, and went through servers that no request may take at that price. Change: servers are listed by region, what a choice needs of its route is looked up once, and the servers of the last rank are left out where none is worth its slot. Why it works: the decisions are the same; the queue is still gone through at each event.

--- a/internal/steer/direct/choose.go
+++ b/internal/steer/direct/choose.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"cmp"
 	"math"
 	"time"
 
@@ -101,14 +102,19 @@
 		assigned, hasRegion = d.regionAt(r.divisionPoint, ownRegion, r.permits)
 	}
 	r.assignedRegion = ""
+	known := s.knownOf(r)
 	var best candidate
 	if hasRegion {
 		r.assignedRegion = assigned
-		best = s.pickServer(r, true, func(srv *server) bool { return srv.Region == assigned })
+		best = s.pickServer(r, known, true, s.byRegion[serviceRegion{r.service, assigned}])
 	}
 	if best.server == nil || (!best.hasRoom || !best.inTime) && s.spillover.allowed(s.now, s.settings.MaxShift) {
 		// The division keeps the object in its assigned region, if a server there may get it.
-		other := s.pickServer(r, best.server == nil, func(srv *server) bool { return !hasRegion || srv.Region != assigned })
+		others := s.byService[r.service]
+		if list, ok := s.outside[serviceRegion{r.service, assigned}]; ok && hasRegion {
+			others = list
+		}
+		other := s.pickServer(r, known, best.server == nil, others)
 		if best.server == nil || other.hasRoom && other.isBetter(best) {
 			best = other
 		}
@@ -132,13 +138,31 @@
 	return r.attempts == 0 && s.now < r.deadline && s.now-s.typicalTimes(r).lastSentAt >= s.typicalTime(r, firstRank)
 }
 
-// pickServer returns the best candidate for a request among the servers for which fits
-// returns true. mayKnow is false if none of them knows the object of the request.
-func (s *state) pickServer(r *request, mayKnow bool, fits func(*server) bool) (best candidate) {
+// known is what the choice of a server for a request needs of its route and service.
+type known struct {
+	// typicalTimes are by rank.
+	typicalTimes  [rankCount]time.Duration
+	residenceTime time.Duration
+	slotPrice     float64
+	ownShare      float64
+}
+
+func (s *state) knownOf(r *request) known {
+	k := known{residenceTime: s.residenceTime(r), slotPrice: s.slotPrices[r.service], ownShare: cmp.Or(s.ownShares[r.service], 1)}
+	for i := range rankCount {
+		k.typicalTimes[i] = s.typicalTime(r, i)
+	}
+
+	return k
+}
+
+// pickServer returns the best candidate for a request among some servers. mayKnow is false if
+// none of them knows the object of the request.
+func (s *state) pickServer(r *request, known known, mayKnow bool, servers []*server) (best candidate) {
 	var first, second *server
 	var firstWeight, secondWeight uint64
-	for _, srv := range s.byService[r.service] {
-		if !fits(srv) || !s.eligible(srv, r) {
+	for _, srv := range servers {
+		if !s.eligible(srv, r) {
 			continue
 		}
 		if w := rendezvous.Mix(srv.hash ^ r.objectHash); first == nil || w > firstWeight {
@@ -151,7 +175,7 @@
 		if !mayKnow {
 			k = otherRank
 		}
-		if c := s.candidate(r, srv, k); c.isBetter(best) && s.isWorthSlot(r, c, k) {
+		if c := s.candidate(r, srv, known, k); c.isBetter(best) && s.isWorthSlot(r, c, known, k) {
 			best = c
 		}
 	}
@@ -165,8 +189,12 @@
 	if best.server == first && best.hasRoom && best.inTime {
 		return best
 	}
-	for _, srv := range s.byService[r.service] {
-		if srv != first && srv != second && fits(srv) && s.hasRoom(srv) && s.eligible(srv, r) {
+	if r.route.Sticky && !s.fits(r, time.Duration(known.slotPrice*minSlowdown*float64(known.typicalTimes[otherRank]))) {
+		// No server of another rank is worth its slot.
+		return best
+	}
+	for _, srv := range servers {
+		if srv != first && srv != second && s.hasRoom(srv) && s.eligible(srv, r) {
 			consider(srv, otherRank)
 		}
 	}
@@ -175,11 +203,13 @@
 }
 
 // candidate returns a server as a candidate for a request.
-func (s *state) candidate(r *request, srv *server, k rank) candidate {
-	processing := s.processingTime(r, srv, k)
-	c := candidate{server: srv, hasRoom: s.hasRoom(srv), wait: s.waitAt(r, srv), answerTime: s.roundTrip(srv.Region) + processing}
+func (s *state) candidate(r *request, srv *server, known known, k rank) candidate {
+	slowdown := srv.slowdown(s.now)
+	processing := time.Duration(slowdown * float64(known.typicalTimes[k]))
+	c := candidate{server: srv, hasRoom: s.hasRoom(srv), answerTime: s.roundTrip(srv.Region) + processing}
+	c.wait = s.waitAt(r, srv, known, c.hasRoom, slowdown)
 	c.inTime = s.fits(r, c.wait+c.answerTime)
-	c.cost = c.wait + c.answerTime + time.Duration(s.slotPrices[r.service]*float64(processing))
+	c.cost = c.wait + c.answerTime + time.Duration(known.slotPrice*float64(processing))
 	if srv.failsOften() {
 		c.cost += time.Duration(failureCostFactor * float64(processing))
 	}
@@ -190,8 +220,10 @@
 // isWorthSlot reports whether a request may take a slot of a candidate of rank k. On a server
 // that does not know the object it must cost the callers of other requests less time than
 // its own caller has left.
-func (s *state) isWorthSlot(r *request, c candidate, k rank) bool {
-	return !r.route.Sticky || k != otherRank || s.fits(r, time.Duration(s.slotPrices[r.service]*float64(s.processingTime(r, c.server, k))))
+func (s *state) isWorthSlot(r *request, c candidate, known known, k rank) bool {
+	processing := time.Duration(c.server.slowdown(s.now) * float64(known.typicalTimes[k]))
+
+	return !r.route.Sticky || k != otherRank || s.fits(r, time.Duration(known.slotPrice*float64(processing)))
 }
 
 // hasRoom reports whether a server takes another request now.
--- a/internal/steer/direct/direct.go
+++ b/internal/steer/direct/direct.go
@@ -85,8 +85,11 @@
 	intent  *intent.Intent
 	servers map[string]*server
 	// byKey holds the servers by their Key.
-	byKey          map[uint32]*server
-	byService      map[string][]*server
+	byKey     map[uint32]*server
+	byService map[string][]*server
+	// byRegion holds a service's servers in a region, outside those in all other regions.
+	byRegion       map[serviceRegion][]*server
+	outside        map[serviceRegion][]*server
 	evacuatedZones set.Set[string]
 	// entryVMNames and strengths are the fields of the last EntryVMsChanged.
 	entryVMNames []string
@@ -136,6 +139,11 @@
 	effects []Effect
 }
 
+// serviceRegion is the key of a service's servers in one region.
+type serviceRegion struct {
+	service, region string
+}
+
 // New returns the state of an entry VM without configuration, servers and peers.
 func New(settings Settings) State {
 	return State{&state{
@@ -144,6 +152,8 @@
 		servers:        map[string]*server{},
 		byKey:          map[uint32]*server{},
 		byService:      map[string][]*server{},
+		byRegion:       map[serviceRegion][]*server{},
+		outside:        map[serviceRegion][]*server{},
 		peers:          map[string]peerReport{},
 		requests:       map[RequestID]*request{},
 		queues:         map[string]*queue{},
--- a/internal/steer/direct/server.go
+++ b/internal/steer/direct/server.go
@@ -32,6 +32,9 @@
 	// maxSlowdownSample bounds the slowdown taken from one response. Any server may get a
 	// long-running request, which must not make the server seem slow.
 	maxSlowdownSample = 2.5
+	// minSlowdown is the least slowdown that is assumed of a server: half of the least
+	// measured one, in case that the server reports less.
+	minSlowdown = 0.25
 	// maxFailureShare is the share of failed attempts above which a server fails too often
 	// and is avoided. Below minFailureSamples attempts the share is not considered.
 	maxFailureShare   = 0.3
--- a/internal/steer/direct/tick.go
+++ b/internal/steer/direct/tick.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"slices"
 	"time"
 )
 
@@ -15,6 +16,7 @@
 	byID := make(map[string]*server, len(list))
 	s.byKey = make(map[uint32]*server, len(list))
 	s.byService = map[string][]*server{}
+	s.byRegion = map[serviceRegion][]*server{}
 	for _, listed := range list {
 		srv, ok := s.servers[listed.ID]
 		if known, wasListed := s.unlisted[incarnationOf(listed)]; !ok && wasListed {
@@ -43,6 +45,8 @@
 		byID[listed.ID] = srv
 		s.byKey[srv.key] = srv
 		s.byService[listed.Service] = append(s.byService[listed.Service], srv)
+		inRegion := serviceRegion{listed.Service, listed.Region}
+		s.byRegion[inRegion] = append(s.byRegion[inRegion], srv)
 	}
 	for id, srv := range s.servers {
 		if _, ok := byID[id]; !ok {
@@ -53,6 +57,10 @@
 		}
 	}
 	s.servers = byID
+	s.outside = make(map[serviceRegion][]*server, len(s.byRegion))
+	for key := range s.byRegion {
+		s.outside[key] = slices.DeleteFunc(slices.Clone(s.byService[key.service]), func(srv *server) bool { return srv.Region == key.region })
+	}
 	s.recountPeerPortions()
 	for _, service := range sortedKeys(s.queues) {
 		s.dispatchQueued(service)
--- a/internal/steer/direct/wait.go
+++ b/internal/steer/direct/wait.go
@@ -1,7 +1,6 @@
 package direct
 
 import (
-	"cmp"
 	"slices"
 	"time"
 )
@@ -15,13 +14,13 @@
 // requests that are at the server beyond its slots go first, and those that wait here for
 // the same server. Other entry VMs take their part of the slots that become free: each the
 // part that it holds already.
-func (s *state) waitAt(r *request, srv *server) time.Duration {
+func (s *state) waitAt(r *request, srv *server, known known, hasRoom bool, slowdown float64) time.Duration {
 	ahead := srv.occupied() - float64(srv.Slots) + 1
-	if !s.hasRoom(srv) {
-		ahead = max(ahead, 1) + float64(s.awaitedAhead(r, srv))/cmp.Or(s.ownShares[r.service], 1)
+	if !hasRoom {
+		ahead = max(ahead, 1) + float64(s.awaitedAhead(r, srv))/known.ownShare
 	}
 
-	return time.Duration(max(ahead, 0) * srv.slowdown(s.now) * float64(s.residenceTime(r)) / float64(max(srv.Slots, 1)))
+	return time.Duration(max(ahead, 0) * slowdown * float64(known.residenceTime) / float64(max(srv.Slots, 1)))
 }
 
 // awaitedAhead returns how many queued requests wait for a server and come before a request.
