Look only at the requests for which a free slot may serve

Cause: at each end of an attempt, and each report of others, all queued requests of the service chose among all servers again. Change: such an event looks at the requests one of whose first two servers has room; the tick looks at all, ten times a second. Why it works: a request whose nearest servers are full seldom goes elsewhere, and then a tenth of a second later.

--- a/internal/steer/direct/attempt.go
+++ b/internal/steer/direct/attempt.go
@@ -21,7 +21,7 @@
 	}
 	srv := r.currentServer
 	s.release(r)
-	defer s.dispatchQueued(r.service)
+	defer s.dispatchFreed(r.service)
 	s.recordOutcome(r, srv, e)
 	if e.Outcome != NotSent {
 		r.attempts++
--- a/internal/steer/direct/choose.go
+++ b/internal/steer/direct/choose.go
@@ -106,7 +106,7 @@
 	var best candidate
 	if hasRegion {
 		r.assignedRegion = assigned
-		best = s.pickServer(r, known, true, s.byRegion[serviceRegion{r.service, assigned}])
+		best, r.nearest = s.pickServer(r, known, true, s.byRegion[serviceRegion{r.service, assigned}])
 	}
 	if best.server == nil || (!best.hasRoom || !best.inTime) && s.spillover.allowed(s.now, s.settings.MaxShift) {
 		// The division keeps the object in its assigned region, if a server there may get it.
@@ -114,7 +114,7 @@
 		if list, ok := s.outside[serviceRegion{r.service, assigned}]; ok && hasRegion {
 			others = list
 		}
-		other := s.pickServer(r, known, best.server == nil, others)
+		other, _ := s.pickServer(r, known, best.server == nil, others)
 		if best.server == nil || other.hasRoom && other.isBetter(best) {
 			best = other
 		}
@@ -157,8 +157,8 @@
 }
 
 // pickServer returns the best candidate for a request among some servers. mayKnow is false if
-// none of them knows the object of the request.
-func (s *state) pickServer(r *request, known known, mayKnow bool, servers []*server) (best candidate) {
+// none of them knows the object of the request. The first two by rank are nearest.
+func (s *state) pickServer(r *request, known known, mayKnow bool, servers []*server) (best candidate, nearest [2]*server) {
 	var first, second *server
 	var firstWeight, secondWeight uint64
 	for _, srv := range servers {
@@ -179,19 +179,20 @@
 			best = c
 		}
 	}
+	nearest = [2]*server{first, second}
 	if first == nil {
-		return best
+		return best, nearest
 	}
 	consider(first, firstRank)
 	if second != nil {
 		consider(second, secondRank)
 	}
 	if best.server == first && best.hasRoom && best.inTime {
-		return best
+		return best, nearest
 	}
 	if r.route.Sticky && !s.fits(r, time.Duration(known.slotPrice*minSlowdown*float64(known.typicalTimes[otherRank]))) {
 		// No server of another rank is worth its slot.
-		return best
+		return best, nearest
 	}
 	for _, srv := range servers {
 		if srv != first && srv != second && s.hasRoom(srv) && s.eligible(srv, r) {
@@ -199,7 +200,7 @@
 		}
 	}
 
-	return best
+	return best, nearest
 }
 
 // candidate returns a server as a candidate for a request.
--- a/internal/steer/direct/direct.go
+++ b/internal/steer/direct/direct.go
@@ -403,7 +403,7 @@
 	}
 	s.release(r)
 	s.forget(r)
-	s.dispatchQueued(r.service)
+	s.dispatchFreed(r.service)
 }
 
 // slotPortions returns the part of a slot that a request takes at a server, in units of
--- a/internal/steer/direct/request.go
+++ b/internal/steer/direct/request.go
@@ -40,6 +40,9 @@
 	queued           bool
 	// wasShed is true when a server has refused the request.
 	wasShed bool
+	// nearest are the first two servers by rank, of those that were last eligible in the
+	// assigned region; nil where there are fewer.
+	nearest [2]*server
 	// awaited is the server for which a queued request waits, nil if there is none.
 	awaited *server
 	// wait is how long the request was last expected to wait for a slot at its best server,
--- a/internal/steer/direct/tick.go
+++ b/internal/steer/direct/tick.go
@@ -91,7 +91,7 @@
 	s.addPeerPortions(e.Report, 1)
 	for _, service := range sortedKeys(s.queues) {
 		if len(s.queues[service].waiting) > 0 {
-			s.dispatchQueued(service)
+			s.dispatchFreed(service)
 		}
 	}
 }
--- a/internal/steer/direct/wait.go
+++ b/internal/steer/direct/wait.go
@@ -75,23 +75,42 @@
 // dispatchQueued sends each queued request of a service that a server takes now, and gives
 // up those for which waiting no longer helps.
 func (s *state) dispatchQueued(service string) {
+	s.dispatch(service, func(*request) bool { return true })
+}
+
+// dispatchFreed is dispatchQueued after a change of the requests in flight: it leaves out
+// requests whose nearest servers still have no room. The next tick decides about them.
+func (s *state) dispatchFreed(service string) {
+	s.dispatch(service, func(r *request) bool {
+		return !r.route.Sticky || slices.ContainsFunc(r.nearest[:], func(srv *server) bool { return srv != nil && s.hasRoom(srv) })
+	})
+}
+
+// dispatch decides about the queued requests of a service for which isDue returns true.
+func (s *state) dispatch(service string, isDue func(*request) bool) {
 	q, ok := s.queues[service]
 	if !ok {
 		return
 	}
 	waiting := slices.Clone(q.waiting)
 	for _, r := range waiting {
-		c := s.choose(r)
-		switch {
-		case c.server != nil:
-			q.remove(r)
-			s.send(r, c.server)
-		case !s.mayWait(r):
-			s.giveUp(r, s.refusalReason(r, c))
-		default:
-			if r.awaited = c.awaited; r.awaited != nil {
-				r.awaited.awaited++
+		if isDue(r) {
+			c := s.choose(r)
+			if c.server != nil {
+				q.remove(r)
+				s.send(r, c.server)
+
+				continue
 			}
+			if !s.mayWait(r) {
+				s.giveUp(r, s.refusalReason(r, c))
+
+				continue
+			}
+			r.awaited = c.awaited
+		}
+		if r.awaited != nil {
+			r.awaited.awaited++
 		}
 	}
 	for _, r := range waiting {
