Add customers, their limits and the settings for them as types

Cause: the configurations of the demands name customers with keys, quotas, priorities and homes, and the settings bound revocation and quotas; nothing of it has a type yet. Change: intent.Customer with its limit, keys kept as digests only; the customer of a request reaches the reducer; Serve calls identifyCustomer and takeQuota, which decide nothing yet; Mirror.ProvenAge.

--- a/internal/run/direct/serve.go
+++ b/internal/run/direct/serve.go
@@ -43,6 +43,8 @@
 	// all attempts, whose memory is released when the request has ended.
 	lastResponse *http1.Response
 	results      []http1.Result
+	// notRun is true when the request was refused: no backend server has run it.
+	notRun bool
 }
 
 // Serve implements http1.Handler. It returns when the request is answered or its caller
@@ -67,21 +69,38 @@
 
 		return
 	}
+	customer, denied := p.identifyCustomer(exchange, current, route)
+	if denied != nil {
+		p.deny(exchange, *denied)
+
+		return
+	}
 	p.noteRequest()
-	now := p.clock.Now()
 	// The reducer applies the route's timeout as well.
 	patience := cmp.Or(exchange.Patience, route.Timeout, unstatedPatience)
+	arrivedAt := p.clock.Now()
+	giveBack, denied := p.takeQuota(exchange, customer, patience)
+	if denied != nil {
+		p.deny(exchange, *denied)
+
+		return
+	}
+	now := p.clock.Now()
+	patience -= now - arrivedAt
 	r := &activeRequest{Process: p, exchange: exchange, route: route.Name, configVersion: current.Version, arrivedAt: now, effects: make(chan steer.Effect, maxPendingEffects)}
 	p.mu.Lock()
 	p.lastID++
 	r.id = p.lastID
 	p.effectChans[r.id] = r.effects
 	p.reduce(steer.RequestArrived{
-		At: steer.At(now), ID: r.id, Route: route, Object: exchange.Object, Deadline: now + patience,
+		At: steer.At(now), ID: r.id, Route: route, Customer: customer, Object: exchange.Object, Deadline: now + patience,
 		Fingerprint: xxhash.Sum64String(exchange.Method + exchange.Host + exchange.Target + string(exchange.Body)),
 	})
 	p.mu.Unlock()
 	r.run()
+	if r.notRun {
+		giveBack()
+	}
 	for _, result := range r.results {
 		result.Release()
 	}
@@ -118,6 +137,7 @@
 			case steer.Hold:
 				holdTimer = time.After(e.Until - r.clock.Now())
 			case steer.Refuse:
+				r.notRun = true
 				r.refuse(r.exchange, e.Reason, e.RetryAfter, r.fields(
 					zap.Float64("use", e.DemandRatio), zap.Duration("wait", e.Wait), zap.Duration("work", e.AnswerTime), zap.Duration("left", e.TimeLeft))[1:]...)
 
@@ -252,12 +272,20 @@
 // The inputs are log fields that explain the decision; the request's ID is not among
 // them.
 func (p *Process) refuse(exchange *http1.Exchange, reason steer.Reason, retryAfter time.Duration, inputs ...zap.Field) {
-	p.metrics.Refused("not-run", string(reason))
+	p.deny(exchange, denial{status: http.StatusServiceUnavailable, reason: reason, retryAfter: retryAfter}, inputs...)
+}
+
+// deny answers a request that has not run with the status of a denial. Only a denial that may
+// pass says when to retry.
+func (p *Process) deny(exchange *http1.Exchange, d denial, inputs ...zap.Field) {
+	p.metrics.Refused("not-run", string(d.reason))
 	p.log.Info("request refused", append([]zap.Field{
-		zap.String("request", exchange.ID), zap.String("reason", string(reason)), zap.Duration("retry-after", retryAfter),
+		zap.String("request", exchange.ID), zap.String("reason", string(d.reason)), zap.Duration("retry-after", d.retryAfter),
 	}, inputs...)...)
-	r := newResponse(http.StatusServiceUnavailable, exchange.ID, p.deployment.Names())
-	r.Header.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
+	r := newResponse(d.status, exchange.ID, p.deployment.Names())
+	if d.retryAfter > 0 {
+		r.Header.Set("Retry-After", strconv.FormatFloat(d.retryAfter.Seconds(), 'f', 3, 64))
+	}
 	exchange.Respond(r)
 }
 
--- a/internal/run/direct/settings.go
+++ b/internal/run/direct/settings.go
@@ -38,6 +38,15 @@
 	// OutageGap is the shortest time without a read of the store by any entry VM after
 	// which entries of running backend servers may have expired.
 	OutageGap time.Duration
+	// ConfigurationTime is how long it may take until a new configuration is in force on an
+	// entry VM that reaches the store.
+	ConfigurationTime time.Duration
+	// RevocationTime is how long after its removal from the configuration a customer's key
+	// may still be used by any entry VM, in touch with the store or not. 0 sets no limit for
+	// entry VMs that are out of touch.
+	RevocationTime time.Duration
+	// Quota bounds how far the requests of a customer may exceed its limit.
+	Quota QuotaTolerance
 	// Strength ranks entry VMs by the capacity of their links; a higher value is more
 	// capacity. The strongest entry VMs read the store's tables for all, and relay
 	// reports.
@@ -51,6 +60,15 @@
 	MaxBufferedResponseBytes int64
 }
 
+// QuotaTolerance says how far the requests of a customer at all entry VMs together may exceed
+// its limit: in each Window, at most (rate x Window + burst) x (1 + Overage) + Allowance
+// requests may reach backend servers.
+type QuotaTolerance struct {
+	Window    time.Duration
+	Overage   float64
+	Allowance float64
+}
+
 // EntryVM is an entry VM as it is announced in the store.
 type EntryVM struct {
 	Name   string
--- a/internal/run/mirror/mirror.go
+++ b/internal/run/mirror/mirror.go
@@ -209,6 +209,15 @@
 	return age, m.table.Loaded() && m.ownReadAt > 0 && age < maxReportedReadAge
 }
 
+// ProvenAge returns how long ago a read of the store began that showed no change after the
+// copy. ok is false while there is no copy.
+func (m *Mirror) ProvenAge() (age time.Duration, ok bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+
+	return m.clock.Now() - m.freshAt, m.table.Loaded()
+}
+
 // Failing reports whether there is a copy and the last read from the store failed.
 func (m *Mirror) Failing() bool {
 	m.mu.Lock()
--- a/internal/steer/direct/direct.go
+++ b/internal/steer/direct/direct.go
@@ -228,7 +228,7 @@
 // requestArrived records a new request and sends it, queues it or refuses it.
 func (s *state) requestArrived(e RequestArrived) {
 	r := &request{
-		id: e.ID, route: e.Route, arrivedAt: s.now, deadline: e.Deadline - responseMargin, fingerprint: e.Fingerprint,
+		id: e.ID, route: e.Route, customer: e.Customer, arrivedAt: s.now, deadline: e.Deadline - responseMargin, fingerprint: e.Fingerprint,
 		service: e.Route.PickService(s.nextSplitPoint(e.Route)),
 	}
 	if e.Route.Timeout > 0 {
--- a/internal/steer/direct/event.go
+++ b/internal/steer/direct/event.go
@@ -155,6 +155,9 @@
 
 		ID    RequestID
 		Route intent.Route
+		// Customer is the customer whose key the request carries; its name is empty if there
+		// is none.
+		Customer intent.Customer
 		// Object names what the request concerns, "" when it is not known. Servers that have
 		// handled an object recently process requests for that object faster.
 		Object string
--- a/internal/steer/direct/request.go
+++ b/internal/steer/direct/request.go
@@ -11,6 +11,7 @@
 type request struct {
 	id        RequestID
 	route     intent.Route
+	customer  intent.Customer
 	service   string
 	arrivedAt time.Duration
 	// deadline is the latest end of an attempt: the caller's deadline less responseMargin,
--- a/internal/steer/intent/intent.go
+++ b/internal/steer/intent/intent.go
@@ -44,6 +44,8 @@
 	// Homes holds the regions whose backend servers may serve the route; an empty set
 	// means all regions.
 	Homes set.Set[string]
+	// Public is true when requests need no key of a customer.
+	Public bool
 	// ServiceWeights divide the requests among services.
 	ServiceWeights []ServiceWeight
 }
@@ -78,6 +80,8 @@
 	Limits   Limits
 	// routesByHost holds the routes by host in lower case, longest prefix first.
 	routesByHost map[string][]Route
+	// customers are what the configuration says about customers.
+	customers customers
 }
 
 // New returns a version of the configuration, whose routes Match finds.
