greengagetally entry: return no response with a status below 100

Cause: the transport of net/http returns a response with the status 000 as a final one; the caller's answer was then written with that status, which ends in a panic of net/http, and an idempotency key would have kept it. Change: such a response counts as unusable, like one that switches the protocol: the attempt has failed and may have run. Result: TestResponsesWithoutAStatusAreRefused failed before for 000, 099 and +20.

--- a/internal/wire/backend/conn_test.go
+++ b/internal/wire/backend/conn_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -11,6 +12,35 @@
 	"github.com/stretchr/testify/require"
 )
 
+// Guards against a response whose status is no HTTP status and that reaches the caller as an
+// answer.
+func TestResponsesWithoutAStatusAreRefused(t *testing.T) {
+	t.Parallel()
+	for _, statusLine := range []string{"HTTP/1.1 000 None", "HTTP/1.1 099 None", "HTTP/1.1 +20 OK"} {
+		t.Run(statusLine, func(t *testing.T) {
+			t.Parallel()
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				raw, _, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					return
+				}
+				defer func() { _ = raw.Close() }()
+				_, _ = io.WriteString(raw, statusLine+"\r\nContent-Length: 2\r\n\r\nno")
+			}))
+			defer server.Close()
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			req, err := http.NewRequestWithContext(ctx, http.MethodGet, server.URL, nil)
+			require.NoError(t, err)
+			resp, _, err := NewTransport().Do(req, func() {}, cancel)
+			if err == nil {
+				_ = resp.Body.Close()
+			}
+			require.Error(t, err)
+		})
+	}
+}
+
 // Guards against a slot that counts as free while the backend server still runs
 // a request that was given up. The server in this test notices 100 ms late that the
 // connection has ended.
--- a/internal/wire/backend/transport.go
+++ b/internal/wire/backend/transport.go
@@ -155,8 +155,9 @@
 }
 
 // errUnusableResponse is returned instead of a response that belongs to an earlier
-// request or has status 101, which switches the protocol.
-var errUnusableResponse = errors.New("response began before the request was sent, or switches the protocol")
+// request, has a status below 100, which net/http accepts, or has status 101, which
+// switches the protocol.
+var errUnusableResponse = errors.New("response began before the request was sent, has no HTTP status, or switches the protocol")
 
 // Do sends the request; onFirstByte is called before the first byte of the request is
 // written, and cancel must end the context of the request. The response body must be
@@ -172,7 +173,7 @@
 	req = req.WithContext(httptrace.WithClientTrace(req.Context(), trace))
 	lowercaseIdempotencyKeys(req.Header)
 	resp, err := t.http.RoundTrip(req)
-	if err == nil && (trip.isLeftover() || resp.StatusCode == http.StatusSwitchingProtocols) {
+	if err == nil && (trip.isLeftover() || resp.StatusCode < http.StatusContinue || resp.StatusCode == http.StatusSwitchingProtocols) {
 		_ = resp.Body.Close()
 		err = errUnusableResponse
 	}
