--- a/internal/steer/intent/customer.go
+++ b/internal/steer/intent/customer.go
@@ -32,6 +32,9 @@
 	Homes set.Set[string]
 }
 
+// MaxKeyBytes is the length of the longest key that a customer may have.
+const MaxKeyBytes = 4 << 10
+
 // KeyDigest stands for a customer's key, so that the key itself is not kept.
 type KeyDigest [sha256.Size]byte
 
@@ -64,6 +67,9 @@
 
 // CustomerOf returns the customer that owns a key, and false for an unknown key.
 func (i *Intent) CustomerOf(key string) (Customer, bool) {
+	if len(key) > MaxKeyBytes {
+		return Customer{}, false
+	}
 	name, ok := i.customers.keys[DigestKey(key)]
 	if !ok {
 		return Customer{}, false
--- a/internal/wire/http1/names.go
+++ b/internal/wire/http1/names.go
@@ -32,6 +32,10 @@
 	// ColdMillis is how long the server stays cold, in milliseconds: it has started
 	// recently and tolerates few requests.
 	ColdMillis string
+	// Key carries a customer's key, as "Bearer KEY".
+	Key string
+	// Customer tells a server the name of the customer whose key the request had.
+	Customer string
 }
 
 // hopByHop are the headers that apply to a single connection and are not forwarded.
