steer/direct: the homes of route and customer both bind

Cause: a request was sent to the homes of its route whatever the homes of its customer. Change: request.permits asks both; all decisions ask permits. A request whose homes do not meet is refused at once as no-server and is no demand. The invariants draw homes of customers.

--- a/internal/steer/direct/direct.go
+++ b/internal/steer/direct/direct.go
@@ -242,6 +242,12 @@
 		r.divisionPoint = float64(rendezvous.Mix(r.objectHash)>>11) / (1 << 53)
 	}
 	s.requests[r.id] = r
+	if !r.hasHome() {
+		// No server of any region will ever take it, so it is no demand either.
+		s.refuse(r, ReasonNoServer)
+
+		return
+	}
 	if s.suspects.refuses(s.now, r.fingerprint) {
 		s.refuse(r, ReasonCrashesServers)
 
--- a/internal/steer/direct/invariants_test.go
+++ b/internal/steer/direct/invariants_test.go
@@ -16,7 +16,8 @@
 
 // modelRequest is what the model knows of a request.
 type modelRequest struct {
-	route intent.Route
+	route    intent.Route
+	customer intent.Customer
 	// currentServer is the ID of the server that has the request now, "" if none has.
 	currentServer string
 	// attempts counts the servers that the request may have reached. mayHaveRun is true
@@ -93,6 +94,7 @@
 		require.False(t, m.leavingServers.Has(e.Server.ID), "a server that said it is leaving gets a request")
 		require.GreaterOrEqual(t, m.now, m.pauses[e.Server.ID], "a server that asked for a pause gets a request")
 		require.True(t, r.route.Homes.Len() == 0 || r.route.Homes.Has(server.Region), "a request leaves its home regions")
+		require.True(t, r.customer.Homes.Len() == 0 || r.customer.Homes.Has(server.Region), "a request leaves the home regions of its customer")
 		require.LessOrEqual(t, e.Deadline, m.now+r.route.Timeout)
 		r.currentServer, r.holding = e.Server.ID, false
 		r.triedServers = r.triedServers.With(e.Server.ID)
@@ -205,9 +207,10 @@
 			"request": func(t *rapid.T) {
 				m.lastID++
 				route := rapid.SampledFrom(m.routes).Draw(t, "route")
-				m.requests[m.lastID] = &modelRequest{route: route}
+				customer := intent.Customer{Homes: set.New(rapid.SampledFrom([][]string{nil, {"r0"}, {"r0", "r1"}}).Draw(t, "homes")...)}
+				m.requests[m.lastID] = &modelRequest{route: route, customer: customer}
 				m.apply(t, direct.RequestArrived{
-					At: direct.At(m.now), ID: m.lastID, Route: route, Object: fmt.Sprint(rapid.IntRange(0, 5).Draw(t, "object")),
+					At: direct.At(m.now), ID: m.lastID, Route: route, Customer: customer, Object: fmt.Sprint(rapid.IntRange(0, 5).Draw(t, "object")),
 					Deadline: m.now + time.Duration(rapid.IntRange(1, 20).Draw(t, "time left"))*100*time.Millisecond,
 				})
 			},
--- a/internal/steer/direct/request.go
+++ b/internal/steer/direct/request.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/greengagetally/greengagetally/internal/steer/intent"
+	"github.com/greengagetally/greengagetally/internal/value/set"
 )
 
 // request is a caller's request that has no final response yet.
@@ -52,9 +53,24 @@
 	mayHaveRun       bool
 }
 
-// permits reports whether the servers of a region may get the request.
+// permits reports whether the servers of a region may get the request: the homes of the
+// route and those of the customer both bind.
 func (r *request) permits(region string) bool {
-	return r.route.Homes.Len() == 0 || r.route.Homes.Has(region)
+	return isHome(r.route.Homes, region) && isHome(r.customer.Homes, region)
+}
+
+// isHome reports whether a region is among homes, where none stands for all regions.
+func isHome(homes set.Set[string], region string) bool {
+	return homes.Len() == 0 || homes.Has(region)
+}
+
+// hasHome reports whether the homes of the route and those of the customer leave a region.
+func (r *request) hasHome() bool {
+	if r.route.Homes.Len() == 0 || r.customer.Homes.Len() == 0 {
+		return true
+	}
+
+	return slices.ContainsFunc(set.Sorted(r.route.Homes), r.customer.Homes.Has)
 }
 
 func (r *request) tried(serverID string) bool {
