greengagetally-platform: look-ups prefer entry VMs in home regions

Cause: a caller without a ready entry VM in its region was sent to all others, also where the routes that it asks for have homes. Change: a look-up passes its name; without an entry VM in the caller's region it names those of the region that is a home of the most routes of that host, before all others. Result: TestLookupPrefersHomes passes and fails without the preference.

--- a/internal/run/direct/entryvm_test.go
+++ b/internal/run/direct/entryvm_test.go
@@ -252,7 +252,7 @@
 	t.Helper()
 	require.Eventually(t, func() bool {
 		for _, e := range entryVMs {
-			if !e.Ready() || len(e.Lookup("z1", "r").Addresses) != len(entryVMs) {
+			if !e.Ready() || len(e.Lookup("a.example", "z1", "r").Addresses) != len(entryVMs) {
 				return false
 			}
 		}
@@ -350,7 +350,7 @@
 		a.Stop(context.Background())
 	}()
 	require.Eventually(t, func() bool {
-		return !a.Ready() && len(b.Lookup("z1", "r").Addresses) == 1
+		return !a.Ready() && len(b.Lookup("a.example", "z1", "r").Addresses) == 1
 	}, waitTimeout, 20*time.Millisecond, "lookups still return the stopping entry VM")
 	close(release)
 	require.Equal(t, http.StatusOK, <-slow)
--- a/internal/run/direct/peers.go
+++ b/internal/run/direct/peers.go
@@ -224,12 +224,13 @@
 	TTL time.Duration
 }
 
-// Lookup returns ready entry VMs for a caller in an availability zone of a region:
-// those in the zone if there are at least two, else those in the region if there are
-// any, else all. If at least minLookupVMs of the strongest are not busy, it returns only
+// Lookup returns ready entry VMs for a caller in an availability zone of a region that asks
+// for a host: those in the zone if there are at least two, else those in the region if there
+// are any, else those in the regions that are homes of the most of the host's routes, else
+// all. If at least minLookupVMs of the strongest are not busy, it returns only
 // the strongest. It returns at most maxLookupVMs addresses, and none when no entry VM is
 // ready.
-func (p *Process) Lookup(zone, region string) LookupResult {
+func (p *Process) Lookup(host, zone, region string) LookupResult {
 	now := p.clock.Now()
 	var inZone, inRegion, all []lookupCandidate
 	add := func(vm EntryVM, busy bool) {
@@ -258,6 +259,10 @@
 		chosen = inZone
 	case len(inRegion) > 0:
 		chosen = inRegion
+	default:
+		if current := p.intent.Load(); current != nil {
+			chosen = inHomes(all, current.HomeRegions(host))
+		}
 	}
 	result := LookupResult{Addresses: requestAddresses(strongest(chosen))}
 	p.mu.Lock()
@@ -267,6 +272,17 @@
 	return result
 }
 
+// inHomes returns the candidates in the regions with the greatest count among those that
+// have candidates, or all candidates if no such region has a count.
+func inHomes(candidates []lookupCandidate, counts map[string]int) []lookupCandidate {
+	most := 0
+	for _, c := range candidates {
+		most = max(most, counts[c.Region])
+	}
+
+	return slices.DeleteFunc(slices.Clone(candidates), func(c lookupCandidate) bool { return counts[c.Region] < most })
+}
+
 // lookupCandidate is an entry VM that a lookup may return.
 type lookupCandidate struct {
 	EntryVM
--- a/internal/run/direct/peers_test.go
+++ b/internal/run/direct/peers_test.go
@@ -1,10 +1,18 @@
 package direct
 
 import (
+	"fmt"
 	"net/netip"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"github.com/greengagetally/greengagetally/internal/clock/timer"
+	"github.com/greengagetally/greengagetally/internal/run/mirror"
+	"github.com/greengagetally/greengagetally/internal/steer/intent"
+	"github.com/greengagetally/greengagetally/internal/value/set"
 )
 
 // Guards against lookups that return weak entry VMs beside enough strong ones, because
@@ -33,3 +41,39 @@
 	}
 	require.Equal(t, []string{"127.0.0.8:80", "127.0.0.9:80"}, requestAddresses(weak))
 }
+
+// Guards against callers without an entry VM in their region that are sent to regions outside
+// the homes of what they ask for, and against such look-ups that return none.
+func TestLookupPrefersHomes(t *testing.T) {
+	t.Parallel()
+	clock := timer.NewManual(time.Unix(0, 0))
+	clock.Advance(time.Second)
+	p := &Process{clock: clock, peers: newPeers(EntryVM{}), mirrors: map[string]*mirror.Mirror{
+		TableServers: mirror.New(nil, clock, zap.NewNop(), mirror.Options{}),
+	}}
+	route := func(host, prefix string, homes ...string) intent.Route {
+		return intent.Route{Name: host + prefix, Host: host, Prefix: prefix, Homes: set.New(homes...)}
+	}
+	p.intent.Store(intent.New(1, []intent.Route{
+		route("home.example", "/1/", "b"), route("home.example", "/2/", "b", "c", "gone"), route("home.example", "/3/", "gone"), route("home.example", "/4/", "gone"),
+		route("any.example", "/"),
+	}, nil, intent.Limits{}))
+	for i, region := range []string{"a", "b", "c", "b"} {
+		name := fmt.Sprint(region, i)
+		p.peers.byName[name] = &peer{EntryVM: EntryVM{Name: name, Region: region, Requests: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, byte(i)}), 1)}, lastSeen: time.Second, ready: true}
+	}
+	for _, c := range []struct {
+		host, region string
+		want         []string
+	}{
+		{"home.example", "elsewhere", []string{"127.0.0.1:1", "127.0.0.3:1"}},
+		{"HOME.example:80", "gone", []string{"127.0.0.1:1", "127.0.0.3:1"}},
+		{"home.example", "a", []string{"127.0.0.0:1"}},
+		{"any.example", "elsewhere", []string{"127.0.0.0:1", "127.0.0.1:1", "127.0.0.2:1", "127.0.0.3:1"}},
+		{"unknown.example", "elsewhere", []string{"127.0.0.0:1", "127.0.0.1:1", "127.0.0.2:1", "127.0.0.3:1"}},
+	} {
+		require.Equal(t, c.want, p.Lookup(c.host, "zone", c.region).Addresses, "%s in %s", c.host, c.region)
+	}
+	p.peers.byName["b1"].ready, p.peers.byName["b3"].ready = false, false
+	require.Equal(t, []string{"127.0.0.2:1"}, p.Lookup("home.example", "zone", "elsewhere").Addresses, "the next home")
+}
--- a/internal/run/direct/relay_test.go
+++ b/internal/run/direct/relay_test.go
@@ -34,7 +34,9 @@
 		regions[region] = append(regions[region], e)
 		all = append(all, e)
 	}
-	countReturned := func(e *runningEntryVM, region string) int { return len(e.Lookup("elsewhere", region).Addresses) }
+	countReturned := func(e *runningEntryVM, region string) int {
+		return len(e.Lookup("a.example", "elsewhere", region).Addresses)
+	}
 	require.Eventually(t, func() bool {
 		for _, e := range all {
 			if countReturned(e, "r") != perRegion || countReturned(e, "s") != perRegion {
@@ -136,7 +138,7 @@
 	// Longer than it takes to become idle, and to be taken for stopped without reports.
 	for range 40 {
 		time.Sleep(100 * time.Millisecond)
-		require.Len(t, idle.Lookup("z1", "r").Addresses, len(all))
+		require.Len(t, idle.Lookup("a.example", "z1", "r").Addresses, len(all))
 	}
 	before := idle.logs.Len()
 	require.Eventually(t, func() bool {
--- a/internal/steer/intent/intent.go
+++ b/internal/steer/intent/intent.go
@@ -114,6 +114,20 @@
 	return Route{}, false
 }
 
+// HomeRegions returns how many of a host's routes have a region as one of their homes, by
+// region. A port in host is ignored.
+func (i *Intent) HomeRegions(host string) map[string]int {
+	host, _, _ = strings.Cut(host, ":")
+	counts := map[string]int{}
+	for _, r := range i.routesByHost[strings.ToLower(host)] {
+		for _, region := range set.Sorted(r.Homes) {
+			counts[region]++
+		}
+	}
+
+	return counts
+}
+
 // PickService returns the service for point, a number in [0, 1). Evenly spread points
 // select each service in proportion to its weight. PickService returns "" if the route
 // has no ServiceWeights.
