--- a/internal/run/direct/entryvm.go
+++ b/internal/run/direct/entryvm.go
@@ -78,6 +78,8 @@
 
 	// intent is the configuration in force, or nil before the first configuration.
 	intent atomic.Pointer[intent.Intent]
+	// inForce is the same configuration with its proof; it follows intent.
+	inForce atomic.Pointer[configurationInForce]
 	// serverAddresses are the addresses of the listed backend servers, by ID.
 	serverAddresses atomic.Pointer[map[string]string]
 	// stopping is true once a stop was requested.
--- a/internal/run/direct/entryvm_test.go
+++ b/internal/run/direct/entryvm_test.go
@@ -38,6 +38,7 @@
 var names = http1.Names{
 	RequestID: "Request-Id", Deadline: "Deadline-Ms", ObjectCookie: "object", ExpectInstance: "Expect-Instance",
 	NotRun: "Not-Run", Leaving: "Leaving", Load: "Load", Instance: "Instance", ColdMillis: "Cold-Ms",
+	Key: "Authorization", Customer: "Customer-Name",
 }
 
 // deployment is an in-memory platform that entry VMs share. The field revision is the
@@ -49,9 +50,11 @@
 	configVersion  uint64
 	routeTimeout   time.Duration
 	evacuatedZones set.Set[string]
-	servers        []steer.Server
-	entryVMs       []direct.EntryVM
-	changedAt      map[string]uint64
+	// customerKeys holds the customers by key; requests need no keys while it is nil.
+	customerKeys map[string]string
+	servers      []steer.Server
+	entryVMs     []direct.EntryVM
+	changedAt    map[string]uint64
 }
 
 var errStoreUnreachable = errors.New("store is unreachable")
@@ -107,11 +110,19 @@
 		}
 	}
 
-	return direct.OperatorConfig{
-		EvacuatedZones: v.evacuatedZones,
-		Intent: intent.New(v.configVersion, []intent.Route{route("read", "/read/", true), route("write", "/write/", false)},
-			map[string]intent.Service{"s": {Name: "s", HealthPath: "/health"}}, intent.Limits{BodyBytes: 1 << 20, IdleTimeout: waitTimeout}),
-	}, nil
+	public := route("public", "/public/", true)
+	public.Public = true
+	current := intent.New(v.configVersion, []intent.Route{route("read", "/read/", true), route("write", "/write/", false), public},
+		map[string]intent.Service{"s": {Name: "s", HealthPath: "/health"}}, intent.Limits{BodyBytes: 4 << 20, IdleTimeout: waitTimeout})
+	if v.customerKeys != nil {
+		customers, keys := map[string]intent.Customer{}, map[intent.KeyDigest]string{}
+		for key, name := range v.customerKeys {
+			customers[name], keys[intent.DigestKey(key)] = intent.Customer{Name: name}, name
+		}
+		current = current.WithCustomers(customers, keys)
+	}
+
+	return direct.OperatorConfig{EvacuatedZones: v.evacuatedZones, Intent: current}, nil
 }
 
 func (v *view) Servers(map[string]mirror.Item) ([]steer.Server, error) {
@@ -171,6 +182,7 @@
 	view    *view
 	address string
 	logs    *observer.ObservedLogs
+	metrics *metrics.Metrics
 	// end stops the process at once.
 	end  context.CancelFunc
 	done chan struct{}
@@ -187,17 +199,17 @@
 func startEntryVMIn(t *testing.T, d *deployment, ip, region string, gracePeriod time.Duration) *runningEntryVM {
 	t.Helper()
 	core, logs := observer.New(zapcore.InfoLevel)
-	v := &view{deployment: d}
+	v, m := &view{deployment: d}, metrics.New()
 	l, err := net.Listen("tcp", ip+":0")
 	require.NoError(t, err)
 	address := netip.MustParseAddrPort(l.Addr().String())
 	ctx, cancel := context.WithCancel(context.Background())
 	p, err := direct.New(ctx, direct.Settings{
 		Steering: steer.Settings{Name: "entry-" + ip, Zone: "z1", Region: region, RetryRatio: 0.2, RetryAllowance: 20, RetryWindow: 10 * time.Second, MaxShift: 0.15},
-		Requests: address, Reports: reportsPort, Tables: reportsPort + 1, LookupTTL: lookupTTL, GracePeriod: gracePeriod, TableMaxAge: 200 * time.Millisecond, MaxBufferedBodyBytes: 1 << 20, MaxBufferedResponseBytes: 4 << 20,
-	}, v, timer.NewSystem(), zap.New(core), metrics.New())
+		Requests: address, Reports: reportsPort, Tables: reportsPort + 1, LookupTTL: lookupTTL, GracePeriod: gracePeriod, TableMaxAge: 200 * time.Millisecond, ConfigurationTime: waitTimeout, MaxBufferedBodyBytes: 1 << 20, MaxBufferedResponseBytes: 4 << 20,
+	}, v, timer.NewSystem(), zap.New(core), m)
 	require.NoError(t, err)
-	e := &runningEntryVM{Process: p, view: v, address: address.String(), logs: logs, end: cancel, done: make(chan struct{})}
+	e := &runningEntryVM{Process: p, view: v, address: address.String(), logs: logs, metrics: m, end: cancel, done: make(chan struct{})}
 	go func() {
 		defer close(e.done)
 		_ = p.Run(ctx, l)
--- a/internal/run/direct/serve.go
+++ b/internal/run/direct/serve.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -29,9 +30,11 @@
 type activeRequest struct {
 	*Process
 
-	exchange      *http1.Exchange
-	id            steer.RequestID
-	route         string
+	exchange *http1.Exchange
+	id       steer.RequestID
+	route    string
+	// customer is the name of the customer, or "".
+	customer      string
 	arrivedAt     time.Duration
 	effects       chan steer.Effect
 	configVersion uint64
@@ -64,7 +67,7 @@
 	route, ok := current.Match(exchange.Host, exchange.Target)
 	if !ok {
 		p.log.Info("request refused", zap.String("request", exchange.ID), zap.String("reason", string(steer.ReasonUnknownRoute)),
-			zap.String("host", exchange.Host), zap.String("target", exchange.Target), zap.Uint64("version", current.Version))
+			zap.String("host", exchange.Host), zap.String("target", pathOf(exchange.Target)), zap.Uint64("version", current.Version))
 		exchange.Respond(newResponse(http.StatusNotFound, exchange.ID, p.deployment.Names()))
 
 		return
@@ -75,19 +78,22 @@
 
 		return
 	}
+	if customer.Name != "" {
+		p.metrics.CustomerRequest(customer.Name, false)
+	}
 	p.noteRequest()
 	// The reducer applies the route's timeout as well.
 	patience := cmp.Or(exchange.Patience, route.Timeout, unstatedPatience)
 	arrivedAt := p.clock.Now()
 	giveBack, denied := p.takeQuota(exchange, customer, patience)
 	if denied != nil {
-		p.deny(exchange, *denied)
+		p.denyCustomer(exchange, customer.Name, *denied, customerFields(customer.Name)...)
 
 		return
 	}
 	now := p.clock.Now()
 	patience -= now - arrivedAt
-	r := &activeRequest{Process: p, exchange: exchange, route: route.Name, configVersion: current.Version, arrivedAt: now, effects: make(chan steer.Effect, maxPendingEffects)}
+	r := &activeRequest{Process: p, exchange: exchange, route: route.Name, customer: customer.Name, configVersion: current.Version, arrivedAt: now, effects: make(chan steer.Effect, maxPendingEffects)}
 	p.mu.Lock()
 	p.lastID++
 	r.id = p.lastID
@@ -138,7 +144,7 @@
 				holdTimer = time.After(e.Until - r.clock.Now())
 			case steer.Refuse:
 				r.notRun = true
-				r.refuse(r.exchange, e.Reason, e.RetryAfter, r.fields(
+				r.denyCustomer(r.exchange, r.customer, denial{status: http.StatusServiceUnavailable, reason: e.Reason, retryAfter: e.RetryAfter}, r.fields(
 					zap.Float64("use", e.DemandRatio), zap.Duration("wait", e.Wait), zap.Duration("work", e.AnswerTime), zap.Duration("left", e.TimeLeft))[1:]...)
 
 				return
@@ -260,12 +266,30 @@
 // fields returns the log fields that describe the request and the newest decision to send
 // it, followed by more.
 func (r *activeRequest) fields(more ...zap.Field) []zap.Field {
-	return append([]zap.Field{
+	fields := []zap.Field{
 		zap.String("request", r.exchange.ID), zap.String("route", r.route), zap.Uint64("version", r.configVersion),
 		zap.Duration("took", r.clock.Now()-r.arrivedAt), zap.Int("attempts", r.attempts),
 		zap.String("server", r.lastSend.Server.ID), zap.String("zone", r.lastSend.Server.Zone),
 		zap.Float64("occupied", r.lastSend.OccupiedSlots), zap.Int("limit", r.lastSend.SlotLimit),
-	}, more...)
+	}
+
+	return append(append(fields, customerFields(r.customer)...), more...)
+}
+
+// customerFields returns the log field that names a customer, if there is one.
+func customerFields(customer string) []zap.Field {
+	if customer == "" {
+		return nil
+	}
+
+	return []zap.Field{zap.String("customer", customer)}
+}
+
+// pathOf returns a target without its query, which may hold what callers keep secret.
+func pathOf(target string) string {
+	path, _, _ := strings.Cut(target, "?")
+
+	return path
 }
 
 // refuse tells a caller that its request has not run, and to retry after retryAfter.
@@ -283,12 +307,23 @@
 		zap.String("request", exchange.ID), zap.String("reason", string(d.reason)), zap.Duration("retry-after", d.retryAfter),
 	}, inputs...)...)
 	r := newResponse(d.status, exchange.ID, p.deployment.Names())
+	if d.status == http.StatusUnauthorized {
+		r.Header.Set("Www-Authenticate", "Bearer")
+	}
 	if d.retryAfter > 0 {
 		r.Header.Set("Retry-After", strconv.FormatFloat(d.retryAfter.Seconds(), 'f', 3, 64))
 	}
 	exchange.Respond(r)
 }
 
+// denyCustomer is deny for a request whose customer is known, or "" if it has none.
+func (p *Process) denyCustomer(exchange *http1.Exchange, customer string, d denial, inputs ...zap.Field) {
+	if customer != "" {
+		p.metrics.CustomerRequest(customer, true)
+	}
+	p.deny(exchange, d, inputs...)
+}
+
 // fail tells the caller that it is unknown whether its request has run: 504 when the
 // attempt timed out, else 502.
 func (r *activeRequest) fail(failure steer.Fail) {
--- a/internal/run/direct/tables.go
+++ b/internal/run/direct/tables.go
@@ -17,8 +17,12 @@
 		p.log.Warn("an order cannot be read, the others hold", zap.Uint64("revision", snapshot.Revision), zap.Error(err))
 	}
 	old := p.intent.Load()
-	if config.Intent != nil && (old == nil || config.Intent.Version > old.Version) {
+	isNewer := config.Intent != nil && (old == nil || config.Intent.Version > old.Version)
+	if isNewer {
 		p.intent.Store(config.Intent)
+	}
+	p.configurationApplied(snapshot.Revision)
+	if isNewer {
 		p.apply(steer.IntentChanged{At: p.eventTime(), Intent: config.Intent})
 		p.log.Info("configuration in force", zap.Uint64("version", config.Intent.Version), zap.Uint64("revision", snapshot.Revision))
 	}
--- a/internal/run/metrics/metrics.go
+++ b/internal/run/metrics/metrics.go
@@ -17,6 +17,13 @@
 	sampleAlpha = 0.015
 )
 
+const (
+	// maxCustomers bounds the customers with counters of their own. Names may change with
+	// every configuration, and counters stay until the process ends.
+	maxCustomers   = 1000
+	otherCustomers = "other"
+)
+
 // Metrics holds the metrics of one process. Its methods are safe for concurrent use.
 type Metrics struct {
 	registry gometrics.Registry
@@ -25,6 +32,8 @@
 	mu         sync.RWMutex
 	histograms map[string]gometrics.Histogram
 	counters   map[string]gometrics.Counter
+	// customers are the names under which requests of customers are counted.
+	customers map[string]struct{}
 }
 
 // New returns a Metrics without any metric.
@@ -33,6 +42,7 @@
 		registry:   gometrics.NewRegistry(),
 		histograms: map[string]gometrics.Histogram{},
 		counters:   map[string]gometrics.Counter{},
+		customers:  map[string]struct{}{},
 	}
 }
 
@@ -48,6 +58,36 @@
 	m.counter("refused/" + outcome + "/" + reason).Inc(1)
 }
 
+// CustomerRequest counts a request of a customer, and whether it was refused. Customers
+// beyond the first maxCustomers are counted together as otherCustomers.
+func (m *Metrics) CustomerRequest(customer string, refused bool) {
+	customer = m.customerLabel(customer)
+	if refused {
+		m.counter("customer-refused/" + customer).Inc(1)
+
+		return
+	}
+	m.counter("customer-requests/" + customer).Inc(1)
+}
+
+// customerLabel returns the name under which a customer is counted.
+func (m *Metrics) customerLabel(customer string) string {
+	m.mu.RLock()
+	_, known := m.customers[customer]
+	m.mu.RUnlock()
+	if known {
+		return customer
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if len(m.customers) >= maxCustomers {
+		return otherCustomers
+	}
+	m.customers[customer] = struct{}{}
+
+	return customer
+}
+
 // InvariantViolated counts a violation of the named invariant of the program.
 func (m *Metrics) InvariantViolated(invariant string) {
 	m.counter("invariant-violated/" + invariant).Inc(1)
--- a/internal/steer/direct/event.go
+++ b/internal/steer/direct/event.go
@@ -263,6 +263,12 @@
 	ReasonStopping Reason = "stopping"
 	// ReasonMemory: the entry VM holds too many bytes of request bodies.
 	ReasonMemory Reason = "memory"
+	// ReasonMissingKey: the request does not carry exactly one key of a customer.
+	ReasonMissingKey Reason = "missing-key"
+	// ReasonUnknownKey: no customer has the key.
+	ReasonUnknownKey Reason = "unknown-key"
+	// ReasonStaleKeys: the copy of the configuration is too old to say whether the key holds.
+	ReasonStaleKeys Reason = "stale-keys"
 )
 
 // Effect is an output of Reduce that the runtime carries out.
--- a/internal/wire/http1/caller.go
+++ b/internal/wire/http1/caller.go
@@ -262,7 +262,7 @@
 		Method: r.Method, Target: r.RequestURI, Host: r.Host, Body: body,
 		ID:      r.Header.Get(c.listener.names.RequestID),
 		Object:  cookie(r.Header, c.listener.names.ObjectCookie),
-		hasBody: r.ContentLength != 0, BodyRefused: refused,
+		hasBody: r.ContentLength != 0, BodyRefused: refused, keyHeaders: valuesOf(r.Header, c.listener.names.Key),
 	}
 	if ms, err := strconv.ParseUint(r.Header.Get(c.listener.names.Deadline), 10, 64); err == nil {
 		req.Patience = units.ClampMillis(float64(ms))
--- a/internal/wire/http1/message.go
+++ b/internal/wire/http1/message.go
@@ -29,6 +29,9 @@
 	// BodyRefused is true when there was no memory for the body. Body is empty then, the
 	// request must be refused, and the connection is closed after the response.
 	BodyRefused bool
+	// keyHeaders are the values of the header Names.Key, also if the header Connection lists
+	// it.
+	keyHeaders []string
 	// hasBody is true when the request has a Content-Length other than 0 or a chunked
 	// body, which may be empty.
 	hasBody bool
