Keep items that are newer than a delta

Cause: a copy that was read in parts may show an item in a newer version than the sender of a delta has. The receiver dropped that item, and the delta left out the sender's version, which is older than the delta. So the item, a backend server say, was missing until the sender's next change. Change: table.Copy keeps items that changed after the revision of the delta. Result: TestDeltaKeepsItemsThatAreNewer fails without the change; the tests of value/table pass.

--- a/internal/value/table/table.go
+++ b/internal/value/table/table.go
@@ -127,22 +127,27 @@
 
 // itemsWith returns the items after the changes of a delta. Own items that changed after
 // Since are among the delta's items, unless they were deleted or are newer than the delta.
-// The newer ones are left out too: without them the copy is that of the sender, whose next
-// change brings them back.
+// The newer ones stay: the sender may have an older version that is not in the delta.
 func (c Copy) itemsWith(d Delta) map[string]Item {
 	if d.Whole {
 		return d.Items
 	}
 	items := make(map[string]Item, len(c.items)+len(d.Items))
 	for key, item := range c.items {
-		if item.Revision <= d.Since {
+		if item.Revision <= d.Since || item.Revision > d.Revision {
 			items[key] = item
 		}
 	}
 	for _, key := range d.Deleted {
-		delete(items, key)
+		if items[key].Revision <= max(d.Revision, d.Newest) {
+			delete(items, key)
+		}
+	}
+	for key, item := range d.Items {
+		if old, ok := items[key]; !ok || item.Revision > old.Revision {
+			items[key] = item
+		}
 	}
-	maps.Copy(items, d.Items)
 
 	return items
 }
--- a/internal/value/table/table_test.go
+++ b/internal/value/table/table_test.go
@@ -183,3 +183,24 @@
 		}
 	}
 }
+
+// Guards against an item that is missing from a copy for a while because the receiver of a
+// delta has read a newer version of it than the sender, whose version is older than the delta.
+func TestDeltaKeepsItemsThatAreNewer(t *testing.T) {
+	t.Parallel()
+	s := newStore(9)
+	sender := s.read(table.Copy{}, unchanged)
+	receiver := sender
+	s.put("k1")
+	receiver = s.read(receiver, func() {
+		s.put("k2")
+		sender = s.read(sender, unchanged)
+		s.put("k8")
+	})
+	require.Greater(t, sender.Revision(), receiver.Revision())
+	receiver = send(sender, receiver)
+	require.Equal(t, s.items, receiver.Items())
+	require.False(t, receiver.IsExact())
+	s.remove("k8")
+	require.Equal(t, s.items, send(s.read(sender, unchanged), receiver).Items())
+}
