Keep a copy from going back to an item that was deleted

Cause: a read that shows no change leaves the copy at its old revision. If an item was written and deleted between two such reads, an entry VM with the copy in between has a higher revision, and its copy replaced the newer one: the item, an evacuation say, came back until the next read. Change: table.Copy remembers up to which revision it is known to show all changes, and takes no delta or read that is older, unless the items are the same.

--- a/internal/run/mirror/mirror.go
+++ b/internal/run/mirror/mirror.go
@@ -344,6 +344,7 @@
 	}
 	m.freshAt, m.ownReadAt = max(m.freshAt, start), start
 	next, changed := m.table.WithRead(read.items, read.first, read.newest)
+	m.table = next
 	if changed {
 		m.replace(next)
 	}
--- a/internal/value/table/table.go
+++ b/internal/value/table/table.go
@@ -58,6 +58,9 @@
 type Copy struct {
 	items            map[string]Item
 	revision, newest uint64
+	// shown is the latest revision up to which the copy is known to show all changes. It may
+	// be later than revision, which stays while the table does not change.
+	shown uint64
 	// steps are the newest replacements of the copy, oldest first.
 	steps []step
 }
@@ -72,6 +75,18 @@
 	return c.revision
 }
 
+// Shown returns the latest revision up to which the copy is known to show all changes.
+func (c Copy) Shown() uint64 {
+	return c.shown
+}
+
+// WithShown returns the copy, which is known to show all changes up to a revision.
+func (c Copy) WithShown(revision uint64) Copy {
+	c.shown = max(c.shown, revision)
+
+	return c
+}
+
 // IsExact reports whether the copy was the table at its revision. Two copies of one revision
 // are equal only if both were.
 func (c Copy) IsExact() bool {
@@ -85,11 +100,15 @@
 
 // WithRead returns the copy after a read of the whole table, whose first part had the
 // given revision and whose last part had the revision newest. It returns false when the
-// read shows nothing that the copy does not show.
+// read shows nothing that the copy does not show, with the copy that is known to show so
+// much.
 func (c Copy) WithRead(items map[string]Item, revision, newest uint64) (Copy, bool) {
-	if c.Loaded() && (revision <= c.revision || c.IsExact() && sameItems(items, c.items)) {
+	if c.Loaded() && (revision <= c.revision || revision < c.shown) {
 		return c, false
 	}
+	if c.Loaded() && c.IsExact() && sameItems(items, c.items) {
+		return c.WithShown(revision), false
+	}
 
 	return c.with(Delta{Whole: true, Items: items, Revision: revision, Newest: newest}), true
 }
@@ -100,19 +119,25 @@
 }
 
 // WithDelta returns the copy after the changes of a delta. It returns false when the
-// delta is not newer than the copy, or when it is complete only from a later revision.
+// delta is not newer than the copy or than what the copy is known to show, or when it is
+// complete only from a later revision.
 func (c Copy) WithDelta(d Delta) (Copy, bool) {
 	usable := d.Whole || c.Loaded() && d.Since > 0 && d.Since <= c.revision
 	if !usable || d.Revision <= c.revision {
 		return c, false
 	}
+	next := c.with(d)
+	// Items may have been added and deleted since, so that the sender has them still.
+	if d.Revision < c.shown && !sameItems(next.items, c.items) {
+		return c, false
+	}
 
-	return c.with(d), true
+	return next, true
 }
 
 // with applies a delta and records its deletions.
 func (c Copy) with(d Delta) Copy {
-	next := Copy{items: c.itemsWith(d), revision: d.Revision, newest: max(c.newest, d.Newest, d.Revision)}
+	next := Copy{items: c.itemsWith(d), revision: d.Revision, newest: max(c.newest, d.Newest, d.Revision), shown: max(c.shown, d.Revision)}
 	s := step{revision: next.revision, newest: next.newest}
 	for key := range c.items {
 		if _, ok := next.items[key]; !ok {
--- a/internal/value/table/table_test.go
+++ b/internal/value/table/table_test.go
@@ -204,3 +204,30 @@
 	s.remove("k8")
 	require.Equal(t, s.items, send(s.read(sender, unchanged), receiver).Items())
 }
+
+// Guards against an item that was deleted and returns with the copy of another entry VM. Both
+// entry VMs read the table again, one of them before the item was there and after.
+func TestDeletedItemDoesNotReturnWithAnOlderCopy(t *testing.T) {
+	t.Parallel()
+	a, b := table.Item{Key: "a", Revision: 1}, table.Item{Key: "b", Revision: 5}
+	one, both := map[string]table.Item{"a": a}, map[string]table.Item{"a": a, "b": b}
+	before, _ := table.Copy{}.WithRead(one, 4, 4)
+	behind, _ := table.Copy{}.WithRead(both, 6, 6)
+	after, changed := before.WithRead(one, 8, 8)
+	require.False(t, changed)
+	require.Equal(t, uint64(8), after.Shown())
+	_, ok := after.WithDelta(behind.DeltaSince(after.Revision()))
+	require.False(t, ok)
+	_, changed = after.WithRead(both, 7, 7)
+	require.False(t, changed, "a read that was slower")
+	same, _ := table.Copy{}.WithRead(one, 7, 7)
+	next, ok := after.WithDelta(same.DeltaSince(after.Revision()))
+	require.True(t, ok, "equal copies get one revision")
+	require.Equal(t, uint64(7), next.Revision())
+	require.Equal(t, uint64(8), next.Shown())
+	newer, _ := behind.WithRead(both, 9, 9)
+	require.Equal(t, uint64(9), newer.Shown())
+	next, ok = after.WithDelta(table.Delta{Whole: true, Items: both, Revision: 9, Newest: 9})
+	require.True(t, ok)
+	require.Equal(t, both, next.Items())
+}
