Prove how fresh a copy is by the order of messages

Cause: Mirror.ProvenAge trusted ages in messages. A datagram that lay in the buffer of a stopped process made a copy seem fresh, so a removed key could be used for longer than the limit. Change: package steer/proof. Digests are numbered; the reader of the configuration tells which digests it had received before the read; an entry VM knows which of them list its own reports, and so a time of its own clocks before the read. The longer of the process's and the wall clock's time counts. A proof holds once the copy is in force. A reading tells also up to which revision it showed all changes, since an unchanged copy keeps its revision. Without a proof for half of RevocationTime an entry VM reads by itself, spread by rank. Report numbers start at random. All of it only with a RevocationTime; without one ProvenAge is the age as told by others. Gauge proven-age-ms/orders.

--- a/internal/run/direct/copy.go
+++ b/internal/run/direct/copy.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/greengagetally/greengagetally/internal/run/mirror"
+	"github.com/greengagetally/greengagetally/internal/steer/proof"
 	"github.com/greengagetally/greengagetally/internal/value/option"
 	"github.com/greengagetally/greengagetally/internal/value/rendezvous"
 	"github.com/greengagetally/greengagetally/internal/value/units"
@@ -68,11 +69,16 @@
 }
 
 // noteStoreReads records when other entry VMs read their copies from the store, so that
-// this entry VM need not read the same revision again.
+// this entry VM need not read the same revision again, and what their readings prove.
 func (p *Process) noteStoreReads(tables map[string]gossip.TableState) {
 	for table, t := range tables {
-		if m, ok := p.mirrors[table]; ok && t.Reading != nil {
-			m.ObserveRevision(t.Reading.Revision, option.Some(units.ClampMillis(float64(t.Reading.AgeMillis))))
+		m, ok := p.mirrors[table]
+		if !ok || t.Reading == nil {
+			continue
+		}
+		m.ObserveRevision(t.Reading.Revision, option.Some(units.ClampMillis(float64(t.Reading.AgeMillis))))
+		if after, ok := p.peers.before(t.Reading.Marks); ok {
+			m.ObserveReading(proof.Reading{Revision: t.Reading.Revision, Shown: t.Reading.Shown, After: after})
 		}
 	}
 }
--- a/internal/run/direct/entryvm.go
+++ b/internal/run/direct/entryvm.go
@@ -16,6 +16,7 @@
 	"github.com/greengagetally/greengagetally/internal/run/mirror"
 	steer "github.com/greengagetally/greengagetally/internal/steer/direct"
 	"github.com/greengagetally/greengagetally/internal/steer/intent"
+	"github.com/greengagetally/greengagetally/internal/steer/proof"
 	"github.com/greengagetally/greengagetally/internal/value/ewma"
 	"github.com/greengagetally/greengagetally/internal/wire/gossip"
 	"github.com/greengagetally/greengagetally/internal/wire/http1"
@@ -51,6 +52,9 @@
 	// callers may be waiting.
 	readCheckInterval  = 100 * time.Millisecond
 	startCheckInterval = 20 * time.Millisecond
+	// proofSpread is the part of Settings.RevocationTime over which entry VMs spread the reads
+	// for which no others' readings came.
+	proofSpread = 0.25
 )
 
 // Process is the process of one entry VM.
@@ -117,11 +121,17 @@
 	p.serverAddresses.Store(&map[string]string{})
 	// Until the first request, the entry VM is idle.
 	p.lastRequestAt.Store(int64(-idleAfter - 1))
-	p.peers = newPeers(p.self)
+	strict := settings.RevocationTime > 0
+	p.peers = newPeers(p.self, strict)
+	var marks func() []proof.Mark
+	if strict {
+		marks = p.peers.marks
+		m.Gauge("proven-age-ms/"+TableOperatorConfig, p.provenAgeMillis)
+	}
 	p.listener = http1.NewListener(d.Names(), p, p.callerLimits, settings.MaxBufferedBodyBytes)
 	p.mirrors = map[string]*mirror.Mirror{
 		TableOperatorConfig: mirror.New(d, clock, log, mirror.Options{
-			Prefix: d.Prefix(TableOperatorConfig), MaxAge: settings.TableMaxAge, OnChange: p.operatorConfigChanged,
+			Prefix: d.Prefix(TableOperatorConfig), MaxAge: settings.TableMaxAge, OnChange: p.operatorConfigChanged, Marks: marks,
 		}),
 		TableServers: mirror.New(d, clock, log, mirror.Options{
 			Prefix: d.Prefix(TableServers), MaxAge: settings.TableMaxAge, DeletionGrace: settings.ServerDeletionGrace,
@@ -296,7 +306,7 @@
 func (p *Process) readDueTables(ctx context.Context) {
 	for table, m := range p.mirrors {
 		m.DropExpired()
-		if !p.mayRead(table) || !m.Due(p.readRank(table)) {
+		if !p.mayRead(table) || !m.Due(p.readRank(table)) && !p.proofDue(table) {
 			continue
 		}
 		p.goroutines.Go(func() {
@@ -307,6 +317,28 @@
 	}
 }
 
+// proofDue reports whether this entry VM should read a table because the readings of others
+// have not proven its copy for long, and requests need keys.
+func (p *Process) proofDue(table string) bool {
+	current, limit := p.intent.Load(), p.settings.RevocationTime
+	if table != TableOperatorConfig || limit == 0 || current == nil || !current.RequiresKeys() {
+		return false
+	}
+	spread := time.Duration(p.proofRank(table) * proofSpread * float64(limit))
+
+	return p.mirrors[table].ProofDue(limit/2+spread, spread)
+}
+
+// provenAgeMillis returns the age of the copy of the operators' configuration that is
+// proven, or -1 without a proof.
+func (p *Process) provenAgeMillis() int64 {
+	if age, ok := p.mirrors[TableOperatorConfig].ProvenAge(); ok {
+		return age.Milliseconds()
+	}
+
+	return -1
+}
+
 // allLoaded reports whether there is a copy of every table.
 func (p *Process) allLoaded() bool {
 	for _, m := range p.mirrors {
--- a/internal/run/direct/entryvm_test.go
+++ b/internal/run/direct/entryvm_test.go
@@ -168,6 +168,7 @@
 type runningEntryVM struct {
 	*direct.Process
 
+	metrics *metrics.Metrics
 	view    *view
 	address string
 	logs    *observer.ObservedLogs
@@ -186,18 +187,29 @@
 // startEntryVMIn runs an entry VM in a region on the loopback address ip.
 func startEntryVMIn(t *testing.T, d *deployment, ip, region string, gracePeriod time.Duration) *runningEntryVM {
 	t.Helper()
+
+	return startEntryVMWith(t, d, ip, func(s *direct.Settings) { s.Steering.Region, s.GracePeriod = region, gracePeriod })
+}
+
+// startEntryVMWith runs an entry VM on the loopback address ip, in the region "r" unless
+// change sets another in its settings.
+func startEntryVMWith(t *testing.T, d *deployment, ip string, change func(*direct.Settings)) *runningEntryVM {
+	t.Helper()
 	core, logs := observer.New(zapcore.InfoLevel)
 	v := &view{deployment: d}
 	l, err := net.Listen("tcp", ip+":0")
 	require.NoError(t, err)
 	address := netip.MustParseAddrPort(l.Addr().String())
 	ctx, cancel := context.WithCancel(context.Background())
-	p, err := direct.New(ctx, direct.Settings{
-		Steering: steer.Settings{Name: "entry-" + ip, Zone: "z1", Region: region, RetryRatio: 0.2, RetryAllowance: 20, RetryWindow: 10 * time.Second, MaxShift: 0.15},
-		Requests: address, Reports: reportsPort, Tables: reportsPort + 1, LookupTTL: lookupTTL, GracePeriod: gracePeriod, TableMaxAge: 200 * time.Millisecond, MaxBufferedBodyBytes: 1 << 20, MaxBufferedResponseBytes: 4 << 20,
-	}, v, timer.NewSystem(), zap.New(core), metrics.New())
+	settings := direct.Settings{
+		Steering: steer.Settings{Name: "entry-" + ip, Zone: "z1", Region: "r", RetryRatio: 0.2, RetryAllowance: 20, RetryWindow: 10 * time.Second, MaxShift: 0.15},
+		Requests: address, Reports: reportsPort, Tables: reportsPort + 1, LookupTTL: lookupTTL, GracePeriod: time.Second, TableMaxAge: 200 * time.Millisecond, MaxBufferedBodyBytes: 1 << 20, MaxBufferedResponseBytes: 4 << 20,
+	}
+	change(&settings)
+	m := metrics.New()
+	p, err := direct.New(ctx, settings, v, timer.NewSystem(), zap.New(core), m)
 	require.NoError(t, err)
-	e := &runningEntryVM{Process: p, view: v, address: address.String(), logs: logs, end: cancel, done: make(chan struct{})}
+	e := &runningEntryVM{Process: p, metrics: m, view: v, address: address.String(), logs: logs, end: cancel, done: make(chan struct{})}
 	go func() {
 		defer close(e.done)
 		_ = p.Run(ctx, l)
--- a/internal/run/direct/peers.go
+++ b/internal/run/direct/peers.go
@@ -8,6 +8,7 @@
 	"time"
 
 	steer "github.com/greengagetally/greengagetally/internal/steer/direct"
+	"github.com/greengagetally/greengagetally/internal/steer/proof"
 	"github.com/greengagetally/greengagetally/internal/steer/relay"
 	"github.com/greengagetally/greengagetally/internal/value/set"
 )
@@ -26,6 +27,9 @@
 	minLookupVMs = 2
 	// maxLookupVMs bounds the entry VMs that one lookup returns.
 	maxLookupVMs = 64
+	// maxFirstSequence bounds the sequence number before the first report. As many reports
+	// again take years.
+	maxFirstSequence = 1 << 31
 )
 
 // peer is another entry VM that was listed by the store or seen within peerExpiry.
@@ -124,6 +128,9 @@
 	currentRelay string
 	// sent holds the loads of the own reports, which withoutOwn subtracts from sums.
 	sent sentLoads
+	// journal holds the marks of digests. marking is true if this entry VM tells marks.
+	journal *proof.Journal
+	marking bool
 	// idleForwardedAt is when a digest of another region was last forwarded to the idle
 	// entry VMs, by region.
 	idleForwardedAt map[string]time.Duration
@@ -133,13 +140,39 @@
 	copying map[string]bool
 }
 
-// newPeers returns the state of an entry VM that knows no other entry VM yet.
-func newPeers(self EntryVM) *peers {
-	return &peers{
+// newPeers returns the state of an entry VM that knows no other entry VM yet. If marking is
+// true, the entry VM tells marks of digests.
+func newPeers(self EntryVM, marking bool) *peers {
+	ps := &peers{
 		self: self, peerList: peerList{byName: map[string]*peer{}, byKey: map[uint32]*peer{}},
 		reports: map[string]receivedReport{}, ownElection: relay.New(self.Name), otherElections: map[string]*relay.Election{},
 		copying: map[string]bool{}, idleForwardedAt: map[string]time.Duration{},
+		marking: marking, journal: proof.NewJournal(rand.Uint32()), //nolint:gosec // Need not be secret.
 	}
+	if marking {
+		// A late digest that lists a report of an earlier process must not seem to list one
+		// of this process.
+		ps.sent.first = rand.Uint32N(maxFirstSequence) //nolint:gosec // Need not be secret.
+		ps.sent.sequence = ps.sent.first
+	}
+
+	return ps
+}
+
+// marks returns the marks of the last digests.
+func (ps *peers) marks() []proof.Mark {
+	ps.mu.Lock()
+	defer ps.mu.Unlock()
+
+	return ps.journal.Marks()
+}
+
+// before returns a moment before a read that began after the digests with the given marks.
+func (ps *peers) before(marks []proof.Mark) (after proof.Moment, ok bool) {
+	ps.mu.Lock()
+	defer ps.mu.Unlock()
+
+	return ps.journal.Before(marks)
 }
 
 // copySources returns the entry VMs to ask for a copy that the entry VM at address has:
@@ -216,6 +249,22 @@
 	return readRank, retryRank
 }
 
+// proofRank returns the place of this entry VM among all that it knows, from 0 to less than
+// 1. It counts those too that are not alive: an entry VM that is cut off would else come
+// first, as would all others that are.
+func (p *Process) proofRank(table string) float64 {
+	p.peers.mu.Lock()
+	defer p.peers.mu.Unlock()
+	before := 0
+	for _, other := range p.peers.byName {
+		if readsBefore(table, other.EntryVM, p.self) {
+			before++
+		}
+	}
+
+	return float64(before) / float64(len(p.peers.byName)+1)
+}
+
 // LookupResult is the answer to a caller's lookup.
 type LookupResult struct {
 	// Addresses are the request addresses of the entry VMs, as IP address and port.
--- a/internal/run/direct/reports.go
+++ b/internal/run/direct/reports.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	steer "github.com/greengagetally/greengagetally/internal/steer/direct"
+	"github.com/greengagetally/greengagetally/internal/steer/proof"
 	"github.com/greengagetally/greengagetally/internal/steer/relay"
 	"github.com/greengagetally/greengagetally/internal/value/set"
 	"github.com/greengagetally/greengagetally/internal/wire/gossip"
@@ -48,8 +49,9 @@
 }
 
 // sentLoads is a ring buffer of the loads in the newest own reports. The field sequence
-// is the sequence number of the newest report, or 0 before the first one.
+// is the sequence number of the newest report, and first that before the first one.
 type sentLoads struct {
+	first    uint32
 	sequence uint32
 	loads    [maxSentLoads]steer.Report
 }
@@ -65,7 +67,7 @@
 // at returns the load of the own report with the given sequence number, and whether
 // that load is still kept.
 func (s *sentLoads) at(sequence uint32) (steer.Report, bool) {
-	known := sequence > 0 && sequence <= s.sequence && s.sequence-sequence < maxSentLoads
+	known := sequence > s.first && sequence <= s.sequence && s.sequence-sequence < maxSentLoads
 
 	return s.loads[sequence%maxSentLoads], known
 }
@@ -141,7 +143,7 @@
 // sendReport sends this entry VM's report to the relay of the region and the relay's
 // stand-in. It returns whether this entry VM is the relay.
 func (p *Process) sendReport() bool {
-	now := p.clock.Now()
+	now, sentAt := p.clock.Now(), proof.NewMoment(p.clock.Now(), p.clock.Wall())
 	p.mu.Lock()
 	load := p.state.Report()
 	p.mu.Unlock()
@@ -151,6 +153,7 @@
 	relayChanged := relayName != p.peers.currentRelay
 	p.peers.currentRelay = relayName
 	r.Sequence = p.peers.sent.add(load)
+	p.peers.journal.Sent(r.Sequence, sentAt)
 	p.peers.reports[p.self.Name] = receivedReport{Report: r, receivedAt: now}
 	var to []netip.AddrPort
 	for _, name := range []string{relayName, standIn} {
@@ -176,8 +179,8 @@
 			continue
 		}
 		t := gossip.TableState{Revision: revision, Failing: m.Failing()}
-		if age, read := m.OwnReadAge(); read {
-			t.Reading = &gossip.Reading{Revision: revision, AgeMillis: age.Milliseconds()}
+		if read, ok := m.OwnRead(); ok {
+			t.Reading = &gossip.Reading{Revision: read.Revision, AgeMillis: read.Age.Milliseconds(), Marks: read.Marks, Shown: read.Shown}
 		}
 		tables[name] = t
 	}
@@ -280,6 +283,10 @@
 // hold ps.mu.
 func (ps *peers) digest(now time.Duration) *gossip.Digest {
 	d := &gossip.Digest{Name: ps.self.Name, Region: ps.self.Region, Tables: map[string]gossip.TableState{}}
+	if ps.marking {
+		d.Mark = ps.journal.Make(d.Region)
+		ps.journal.Listed(d.Mark, ps.sent.sequence)
+	}
 	var loads []steer.Report
 	for name, r := range ps.reports {
 		if now-r.receivedAt >= maxReportAge {
@@ -376,6 +383,9 @@
 	accepted := election.Accepts(now, d.Name, p.peers.relayOrders[d.Region])
 	election.Heard(now, d.Name)
 	p.peers.recordMembers(now, d.Members)
+	if d.Mark != 0 {
+		p.peers.recordMark(d, accepted)
+	}
 	load := reportOf(d.Region, d.Load)
 	if sameRegion {
 		load = p.peers.withoutOwn(load, d.Members)
@@ -414,6 +424,21 @@
 	}
 }
 
+// recordMark records the mark of a received digest, and whether it includes an own report.
+// Readings tell the mark only if the digest is accepted as that of its region. Callers hold
+// ps.mu.
+func (ps *peers) recordMark(d gossip.Digest, accepted bool) {
+	if accepted {
+		ps.journal.Received(d.Region, d.Mark)
+	}
+	own := steer.Key(ps.self.Name)
+	for _, m := range d.Members {
+		if m.Key == own && d.Region == ps.self.Region {
+			ps.journal.Listed(d.Mark, m.Sequence)
+		}
+	}
+}
+
 // withoutOwn subtracts this entry VM's own load from sum, the load in a digest of the
 // own region. The parameter members lists the reports that the digest includes.
 // withoutOwn returns the whole sum if there is no own report among them or its load is
--- a/internal/run/mirror/mirror.go
+++ b/internal/run/mirror/mirror.go
@@ -18,6 +18,7 @@
 	"go.uber.org/zap"
 
 	"github.com/greengagetally/greengagetally/internal/clock/timer"
+	"github.com/greengagetally/greengagetally/internal/steer/proof"
 	"github.com/greengagetally/greengagetally/internal/value/option"
 	"github.com/greengagetally/greengagetally/internal/value/table"
 	"github.com/greengagetally/greengagetally/internal/value/units"
@@ -119,6 +120,9 @@
 	OutageGap time.Duration
 	// OnChange is called with the new copy after every change, one call at a time.
 	OnChange func(Snapshot)
+	// Marks returns the marks of the digests that this entry VM received last. It is called
+	// before each read. nil if entry VMs tell each other no marks.
+	Marks func() []proof.Mark
 }
 
 // Mirror holds the copy of one table and the state that decides when to read it again.
@@ -161,6 +165,12 @@
 	// known here. storeUpAt is the time of the last read that ended an outage.
 	readAt    option.Option[time.Duration]
 	storeUpAt option.Option[time.Duration]
+	// proof is that of the copy which Options.OnChange got last. loadedAt is when the first
+	// copy came.
+	proof    proof.Copy
+	loadedAt option.Option[proof.Moment]
+	// ownMarks were noted before the last own read that proved the copy.
+	ownMarks []proof.Mark
 }
 
 // New returns a mirror without a copy.
@@ -209,13 +219,93 @@
 	return age, m.table.Loaded() && m.ownReadAt > 0 && age < maxReportedReadAge
 }
 
+// OwnRead is a read of the table by this entry VM itself.
+type OwnRead struct {
+	// Revision is that of the copy, and Shown the one up to which it shows all changes.
+	Revision, Shown uint64
+	Age             time.Duration
+	// Marks are those of digests that were received before the read began. Without marks the
+	// read proves nothing to others.
+	Marks []proof.Mark
+}
+
+// OwnRead returns the last own read as it is told to others, see OwnReadAge.
+func (m *Mirror) OwnRead() (read OwnRead, ok bool) {
+	age, ok := m.OwnReadAge()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+
+	read = OwnRead{Revision: m.table.Revision(), Age: age}
+	if m.table.IsExact() && len(m.ownMarks) > 0 {
+		read.Shown, read.Marks = m.table.Shown(), m.ownMarks
+	}
+
+	return read, ok
+}
+
 // ProvenAge returns how long ago a read of the store began that showed no change after the
-// copy. ok is false while there is no copy.
+// copy. ok is false while there is no copy, or no proof for it.
+//
+// Options.OnChange has returned for the copy that the age is told of. A caller that decides
+// by a copy must ask for its age before it takes the copy: one that comes between the two
+// is as good, an older copy is not.
+//
+// Without Options.Marks the age is the one that others told.
 func (m *Mirror) ProvenAge() (age time.Duration, ok bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.options.Marks == nil {
+		return m.clock.Now() - m.freshAt, m.table.Loaded()
+	}
+	at, ok := m.proof.ProvenAt()
+	if !ok {
+		return 0, false
+	}
+
+	return at.Until(m.now()), true
+}
+
+// ProofDue reports whether the copy should be read because there has been no proof for the
+// time limit. After a failed read it waits for retryDelay more.
+func (m *Mirror) ProofDue(limit, retryDelay time.Duration) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	loadedAt, loaded := m.loadedAt.Get()
+	if m.reading || !loaded || m.failing && m.clock.Now() < m.retryAt+retryDelay {
+		return false
+	}
+	provenAt, ok := m.proof.ProvenAt()
+	if !ok {
+		provenAt = loadedAt
+	}
+
+	return provenAt.Until(m.now()) >= limit
+}
+
+// ObserveReading records a read of the table by another entry VM.
+func (m *Mirror) ObserveReading(r proof.Reading) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.proof.Equals(r) && r.Revision == m.table.Revision() {
+		// An older copy of another entry VM must not replace it any more.
+		m.table = m.table.WithShown(r.Shown)
+	}
+	m.proof = m.proof.WithReading(r)
+}
 
-	return m.clock.Now() - m.freshAt, m.table.Loaded()
+// now returns the time by both clocks.
+func (m *Mirror) now() proof.Moment {
+	return proof.NewMoment(m.clock.Now(), m.clock.Wall())
+}
+
+// publish passes the copy to Options.OnChange. Only then does a proof hold for it. Callers
+// hold m.publishMu.
+func (m *Mirror) publish() {
+	m.options.OnChange(m.Snapshot())
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.proof = m.proof.WithCopy(m.table.Revision(), m.table.Shown(), m.table.IsExact())
+	m.loadedAt = option.Some(m.loadedAt.Or(m.now()))
 }
 
 // Failing reports whether there is a copy and the last read from the store failed.
@@ -274,7 +364,11 @@
 	m.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	start := m.clock.Now()
+	var marks []proof.Mark
+	if m.options.Marks != nil {
+		marks = m.options.Marks()
+	}
+	start := m.now()
 	read, err := m.readAll(ctx)
 	if err != nil {
 		m.readFailed(err)
@@ -282,7 +376,7 @@
 		return false
 	}
 
-	return m.readSucceeded(read, start)
+	return m.readSucceeded(read, start, marks)
 }
 
 // wholeRead is the result of a read of the whole table: the items by key, and the store's
@@ -331,18 +425,19 @@
 	m.log.Warn("store does not answer, keeping the last copy", zap.Uint64("revision", m.table.Revision()), zap.Error(err))
 }
 
-// readSucceeded ends a read that began at start. It reports whether the copy changed.
-func (m *Mirror) readSucceeded(read wholeRead, start time.Duration) bool {
+// readSucceeded ends a read that began at start, after marks were noted. It reports whether
+// the copy changed.
+func (m *Mirror) readSucceeded(read wholeRead, start proof.Moment, marks []proof.Mark) bool {
 	m.publishMu.Lock()
 	defer m.publishMu.Unlock()
 	m.mu.Lock()
 	m.reading = false
-	m.noteRead(start)
+	m.noteRead(start.Elapsed())
 	if m.failing {
 		m.failing = false
 		m.log.Info("store answers", zap.Uint64("revision", read.first), zap.Int("items", len(read.items)))
 	}
-	m.freshAt, m.ownReadAt = max(m.freshAt, start), start
+	m.freshAt, m.ownReadAt = max(m.freshAt, start.Elapsed()), start.Elapsed()
 	next, changed := m.table.WithRead(read.items, read.first, read.newest)
 	m.table = next
 	if changed {
@@ -350,7 +445,14 @@
 	}
 	m.mu.Unlock()
 	if changed {
-		m.options.OnChange(m.Snapshot())
+		m.publish()
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	// The copy shows at least what the read has shown, so the read proves it.
+	if m.table.IsExact() {
+		m.proof = m.proof.WithReading(proof.Reading{Revision: m.table.Revision(), Shown: m.table.Shown(), After: start})
+		m.ownMarks = marks
 	}
 
 	return changed
@@ -421,7 +523,7 @@
 		m.keepReceived(delta)
 	}
 	m.mu.Unlock()
-	m.options.OnChange(m.Snapshot())
+	m.publish()
 
 	return true
 }
--- a/internal/wire/gossip/gossip.go
+++ b/internal/wire/gossip/gossip.go
@@ -11,6 +11,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/netip"
 	"sync"
@@ -18,6 +19,8 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/klauspost/compress/s2"
+
+	"github.com/greengagetally/greengagetally/internal/steer/proof"
 )
 
 const (
@@ -101,6 +104,8 @@
 	Members []Member              `cbor:"5,keyasint,omitempty"`
 	// Scope says which of the fields Load and Members are left out.
 	Scope Scope `cbor:"6,keyasint,omitempty"`
+	// Mark names this digest in Reading.Marks, see proof.Mark. 0 if no marks are told.
+	Mark proof.Mark `cbor:"7,keyasint,omitempty"`
 }
 
 // Scope is how much of a digest is sent. Entry VMs without callers need less.
@@ -112,7 +117,7 @@
 	ScopeWhole Scope = iota
 	// ScopeSummary: all but Load.InFlight.
 	ScopeSummary
-	// ScopeTables: neither Load nor Members.
+	// ScopeTables: neither Load nor Members, and no marks of readings.
 	ScopeTables
 )
 
@@ -124,12 +129,27 @@
 	case ScopeSummary:
 		d.Load.InFlight = nil
 	case ScopeTables:
-		d.Load, d.Members = Load{}, nil
+		d.Load, d.Members, d.Tables = Load{}, nil, withoutMarks(d.Tables)
 	}
 
 	return d
 }
 
+// withoutMarks returns the states of tables without the marks of their readings.
+func withoutMarks(tables map[string]TableState) map[string]TableState {
+	out := maps.Clone(tables)
+	for name, t := range out {
+		if t.Reading != nil && len(t.Reading.Marks) > 0 {
+			reading := *t.Reading
+			reading.Marks, reading.Shown = nil, 0
+			t.Reading = &reading
+			out[name] = t
+		}
+	}
+
+	return out
+}
+
 // Member is an entry VM whose report a digest includes.
 type Member struct {
 	// Key is a hash of the entry VM's name.
@@ -160,6 +180,11 @@
 	Revision uint64 `cbor:"1,keyasint"`
 	// AgeMillis is the age of the read, in milliseconds, when the message was sent.
 	AgeMillis int64 `cbor:"2,keyasint"`
+	// Marks name the digests that the reader had received last before it began the read, one
+	// for each region.
+	Marks []proof.Mark `cbor:"3,keyasint,omitempty"`
+	// Shown is the revision up to which the reader's copy shows all changes. 0 without marks.
+	Shown uint64 `cbor:"4,keyasint,omitempty"`
 }
 
 // Bus exchanges messages and copies of tables with the other entry VMs.
