--- a/internal/run/direct/copy.go
+++ b/internal/run/direct/copy.go
@@ -12,6 +12,7 @@
 	"github.com/greengagetally/greengagetally/internal/steer/proof"
 	"github.com/greengagetally/greengagetally/internal/value/option"
 	"github.com/greengagetally/greengagetally/internal/value/rendezvous"
+	"github.com/greengagetally/greengagetally/internal/value/table"
 	"github.com/greengagetally/greengagetally/internal/value/units"
 	"github.com/greengagetally/greengagetally/internal/wire/gossip"
 )
@@ -56,7 +57,7 @@
 	p.noteStoreReads(tables)
 	for table, t := range tables {
 		m, ok := p.mirrors[table]
-		if !ok || t.Revision == 0 || !m.ObserveRevision(t.Revision, option.None[time.Duration]()) {
+		if !ok || t.Revision == 0 || !m.ObserveVersion(t.Version(), option.None[time.Duration]()) {
 			continue
 		}
 		p.peers.mu.Lock()
@@ -71,14 +72,15 @@
 // noteStoreReads records when other entry VMs read their copies from the store, so that
 // this entry VM need not read the same revision again, and what their readings prove.
 func (p *Process) noteStoreReads(tables map[string]gossip.TableState) {
-	for table, t := range tables {
-		m, ok := p.mirrors[table]
+	for name, t := range tables {
+		m, ok := p.mirrors[name]
 		if !ok || t.Reading == nil {
 			continue
 		}
-		m.ObserveRevision(t.Reading.Revision, option.Some(units.ClampMillis(float64(t.Reading.AgeMillis))))
+		m.ObserveVersion(t.Reading.Version(), option.Some(units.ClampMillis(float64(t.Reading.AgeMillis))))
 		if after, ok := p.peers.before(t.Reading.Marks); ok {
-			m.ObserveReading(proof.Reading{Revision: t.Reading.Revision, Shown: t.Reading.Shown, After: after})
+			shown := table.Version{Era: t.Reading.Era, Revision: t.Reading.Shown}
+			m.ObserveReading(proof.Reading{Version: t.Reading.Version(), Shown: shown, After: after})
 		}
 	}
 }
@@ -103,7 +105,7 @@
 // and spreads there as a tree.
 func (p *Process) copyTable(table string, address netip.Addr) {
 	m := p.mirrors[table]
-	base, _ := m.Revision()
+	base, _ := m.Version()
 	var delta mirror.Delta
 	source := p.copySource(address, 0)
 	err := p.bus.Fetch(p.ctx, source, table, base, &delta)
--- a/internal/run/direct/entryvm_test.go
+++ b/internal/run/direct/entryvm_test.go
@@ -45,6 +45,7 @@
 // revision of the table's last change.
 type deployment struct {
 	mu             sync.Mutex
+	era            uint64
 	revision       uint64
 	configVersion  uint64
 	routeTimeout   time.Duration
@@ -89,7 +90,7 @@
 	defer v.mu.Unlock()
 	key := fmt.Sprintf("%s/%d", prefix, v.changedAt[prefix])
 
-	return mirror.Page{Items: []mirror.Item{{Key: key, Revision: v.changedAt[prefix]}}, Revision: v.revision}, nil
+	return mirror.Page{Items: []mirror.Item{{Key: key, Revision: v.changedAt[prefix]}}, Revision: v.revision, Era: v.era}, nil
 }
 
 func (v *view) Prefix(table string) string { return table }
--- a/internal/run/direct/reports.go
+++ b/internal/run/direct/reports.go
@@ -174,13 +174,15 @@
 func (p *Process) ownTables() map[string]gossip.TableState {
 	tables := make(map[string]gossip.TableState, len(p.mirrors))
 	for name, m := range p.mirrors {
-		revision, ok := m.Revision()
+		version, ok := m.Version()
 		if !ok {
 			continue
 		}
-		t := gossip.TableState{Revision: revision, Failing: m.Failing()}
+		t := gossip.TableState{Era: version.Era, Revision: version.Revision, Failing: m.Failing()}
 		if read, ok := m.OwnRead(); ok {
-			t.Reading = &gossip.Reading{Revision: read.Revision, AgeMillis: read.Age.Milliseconds(), Marks: read.Marks, Shown: read.Shown}
+			t.Reading = &gossip.Reading{
+				Era: read.Version.Era, Revision: read.Version.Revision, AgeMillis: read.Age.Milliseconds(), Marks: read.Marks, Shown: read.Shown.Revision,
+			}
 		}
 		tables[name] = t
 	}
@@ -305,9 +307,10 @@
 		d.Members = append(d.Members, member)
 	}
 	for table, t := range d.Tables {
-		// A receiver copies the table from the relay, so it needs the revision of the
+		// A receiver copies the table from the relay, so it needs the version of the
 		// relay's copy, whatever the others have read.
-		t.Revision = ps.reports[ps.self.Name].Tables[table].Revision
+		own := ps.reports[ps.self.Name].Tables[table]
+		t.Era, t.Revision = own.Era, own.Revision
 		d.Tables[table] = t
 	}
 	d.Load = loadOf(steer.SumReports(ps.self.Region, loads))
--- a/internal/run/direct/tables.go
+++ b/internal/run/direct/tables.go
@@ -6,6 +6,7 @@
 
 	"github.com/greengagetally/greengagetally/internal/run/mirror"
 	steer "github.com/greengagetally/greengagetally/internal/steer/direct"
+	"github.com/greengagetally/greengagetally/internal/value/table"
 )
 
 // operatorConfigChanged applies a new copy of the operators' configuration: its
@@ -17,6 +18,14 @@
 		p.log.Warn("an order cannot be read, the others hold", zap.Uint64("revision", snapshot.Revision), zap.Error(err))
 	}
 	old := p.intent.Load()
+	// The store may have come back from an older copy; a key that was removed since must not
+	// return with it.
+	behind := config.Intent != nil && old != nil && config.Intent.Version < old.Version
+	p.mirrors[TableOperatorConfig].SetBehind(behind)
+	if behind {
+		p.log.Warn("configuration in the store is older than the one in force, waiting for it to be written again",
+			zap.Uint64("version", config.Intent.Version), zap.Uint64("in-force", old.Version), zap.Uint64("era", snapshot.Era))
+	}
 	if config.Intent != nil && (old == nil || config.Intent.Version > old.Version) {
 		p.intent.Store(config.Intent)
 		p.apply(steer.IntentChanged{At: p.eventTime(), Intent: config.Intent})
@@ -55,18 +64,18 @@
 	p.log.Info("entry VMs known", zap.Int("entries", len(entryVMs)), zap.Uint64("revision", snapshot.Revision))
 }
 
-// encodeChanges returns what changed in the named table after sinceRevision, encoded as
+// encodeChanges returns what changed in the named table after a version, encoded as
 // CBOR for another entry VM. It returns false when there is no newer copy of the table or
 // the encoding fails.
-func (p *Process) encodeChanges(name string, sinceRevision uint64) ([]byte, bool) {
+func (p *Process) encodeChanges(name string, since table.Version) ([]byte, bool) {
 	m, ok := p.mirrors[name]
 	if !ok {
 		return nil, false
 	}
-	if revision, loaded := m.Revision(); !loaded || revision <= sinceRevision {
+	if version, loaded := m.Version(); !loaded || !since.Before(version) {
 		return nil, false
 	}
-	data, err := cbor.Marshal(m.ChangesSince(sinceRevision))
+	data, err := cbor.Marshal(m.ChangesSince(since))
 	if err != nil {
 		p.log.Error("cannot encode a table for an entry VM", zap.String("table", name), zap.Error(err))
 
--- a/internal/run/mirror/grace.go
+++ b/internal/run/mirror/grace.go
@@ -33,6 +33,18 @@
 	}
 }
 
+// noteNewEra records that the store came back from an older copy. Entries that were written
+// since then are missing from it until their owners write them again, so the grace begins.
+// Reads of the era before say nothing of the new copy. Callers hold m.mu.
+func (m *Mirror) noteNewEra(era uint64) {
+	m.ownMarks, m.ownReadAt = nil, 0
+	if m.options.DeletionGrace > 0 {
+		m.storeUpAt = option.Some(m.clock.Now())
+	}
+	m.log.Info("store came back from an older copy", zap.Uint64("era", era), zap.Uint64("revision-before", m.table.Version().Revision),
+		zap.Duration("grace", m.options.DeletionGrace))
+}
+
 // keepMissing keeps the items of the last snapshot that the table no longer has, if an
 // outage ended less than DeletionGrace ago. Otherwise it goes on to keep those that are
 // kept already. Callers hold m.mu.
@@ -64,7 +76,7 @@
 
 // mergeKept sets the snapshot to the table and the kept items. Callers hold m.mu.
 func (m *Mirror) mergeKept() {
-	m.snapshot = Snapshot{Items: m.table.Items(), Revision: m.table.Revision()}
+	m.snapshot = Snapshot{Items: m.table.Items(), Revision: m.table.Version().Revision, Era: m.table.Version().Era}
 	if len(m.kept) == 0 {
 		return
 	}
--- a/internal/run/mirror/mirror.go
+++ b/internal/run/mirror/mirror.go
@@ -11,6 +11,7 @@
 
 import (
 	"context"
+	"errors"
 	"math"
 	"sync"
 	"time"
@@ -32,8 +33,10 @@
 	Items []Item
 	// More is true when the table has items after those of the page.
 	More bool
-	// Revision is the store's revision when it read the page.
+	// Revision is the store's revision when it read the page, in the era Era. The era rises
+	// when the store comes back from an older copy.
 	Revision uint64
+	Era      uint64
 }
 
 // Source is the interface to the store that a mirror reads. Every call returns when its
@@ -74,16 +77,24 @@
 	// that not all of them call a store that does not answer.
 	retryRankDelay = 250 * time.Millisecond
 	maxRetryRank   = 8
+	// maxReadStarts is how often a read begins anew because the store's era rose meanwhile.
+	maxReadStarts = 3
 	// maxReportedReadAge is the age from which a read is no longer reported to others.
 	maxReportedReadAge = 2 * time.Second
 )
 
+var (
+	errOldEra     = errors.New("answer is of an older era of the store")
+	errEraChanges = errors.New("the store's era changes during reads")
+)
+
 // Snapshot is a copy of a whole table.
 type Snapshot struct {
 	// Items are the items by key.
 	Items map[string]Item
-	// Revision is the store's revision at the read that showed the last change.
+	// Revision is the store's revision at the read that showed the last change, in the era Era.
 	Revision uint64
+	Era      uint64
 }
 
 // Delta is what changed in the store's table since an older copy. Entry VMs send it to
@@ -171,6 +182,10 @@
 	loadedAt option.Option[proof.Moment]
 	// ownMarks were noted before the last own read that proved the copy.
 	ownMarks []proof.Mark
+	// eraSeen is the highest era of the store that was seen, here or by another entry VM.
+	eraSeen uint64
+	// behind is true while the copy is known to be older than what is in force.
+	behind bool
 }
 
 // New returns a mirror without a copy.
@@ -198,12 +213,20 @@
 	return m.table.Loaded()
 }
 
-// Revision returns the revision of the copy. ok is false while there is none.
-func (m *Mirror) Revision() (revision uint64, ok bool) {
+// Version returns the version of the copy. ok is false while there is none.
+func (m *Mirror) Version() (version table.Version, ok bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 
-	return m.table.Revision(), m.table.Loaded()
+	return m.table.Version(), m.table.Loaded()
+}
+
+// SetBehind says whether the copy is older than what is in force, because the store came
+// back from an older copy. No reading proves it then. It is called by Options.OnChange.
+func (m *Mirror) SetBehind(behind bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.behind = behind
 }
 
 // OwnReadAge returns how long ago this entry VM itself read the table from the store.
@@ -221,9 +244,9 @@
 
 // OwnRead is a read of the table by this entry VM itself.
 type OwnRead struct {
-	// Revision is that of the copy, and Shown the one up to which it shows all changes.
-	Revision, Shown uint64
-	Age             time.Duration
+	// Version is that of the copy, and Shown the one up to which it shows all changes.
+	Version, Shown table.Version
+	Age            time.Duration
 	// Marks are those of digests that were received before the read began. Without marks the
 	// read proves nothing to others.
 	Marks []proof.Mark
@@ -235,7 +258,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 
-	read = OwnRead{Revision: m.table.Revision(), Age: age}
+	read = OwnRead{Version: m.table.Version(), Age: age}
 	if m.table.IsExact() && len(m.ownMarks) > 0 {
 		read.Shown, read.Marks = m.table.Shown(), m.ownMarks
 	}
@@ -286,9 +309,9 @@
 func (m *Mirror) ObserveReading(r proof.Reading) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.proof.Equals(r) && r.Revision == m.table.Revision() {
+	if m.proof.Equals(r) && r.Version == m.table.Version() {
 		// An older copy of another entry VM must not replace it any more.
-		m.table = m.table.WithShown(r.Shown)
+		m.table = m.table.WithShown(r.Shown.Revision)
 	}
 	m.proof = m.proof.WithReading(r)
 }
@@ -298,13 +321,18 @@
 	return proof.NewMoment(m.clock.Now(), m.clock.Wall())
 }
 
+// isExact reports whether readings of the copy's version can prove it. Callers hold m.mu.
+func (m *Mirror) isExact() bool {
+	return m.table.IsExact() && !m.behind
+}
+
 // publish passes the copy to Options.OnChange. Only then does a proof hold for it. Callers
 // hold m.publishMu.
 func (m *Mirror) publish() {
 	m.options.OnChange(m.Snapshot())
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.proof = m.proof.WithCopy(m.table.Revision(), m.table.Shown(), m.table.IsExact())
+	m.proof = m.proof.WithCopy(m.table.Version(), m.table.Shown(), m.isExact())
 	m.loadedAt = option.Some(m.loadedAt.Or(m.now()))
 }
 
@@ -380,14 +408,29 @@
 }
 
 // wholeRead is the result of a read of the whole table: the items by key, and the store's
-// revisions at the first and at the last page. The store may have changed between them.
+// revisions at the first and at the last page. The store may have changed between them, but
+// its era has not.
 type wholeRead struct {
 	items         map[string]Item
+	era           uint64
 	first, newest uint64
 }
 
-// readAll reads all pages of the table.
+// readAll reads all pages of the table, again if the era rose meanwhile.
 func (m *Mirror) readAll(ctx context.Context) (wholeRead, error) {
+	for range maxReadStarts {
+		read, err := m.readPages(ctx)
+		if !errors.Is(err, errEraChanges) {
+			return read, err
+		}
+	}
+
+	return wholeRead{}, errEraChanges
+}
+
+// readPages reads all pages of the table. It fails with errEraChanges if they are of
+// different eras.
+func (m *Mirror) readPages(ctx context.Context) (wholeRead, error) {
 	read := wholeRead{items: map[string]Item{}}
 	afterKey := ""
 	for {
@@ -395,8 +438,11 @@
 		if err != nil {
 			return wholeRead{}, err //nolint:wrapcheck // The source describes its calls.
 		}
-		if read.first == 0 {
-			read.first = page.Revision
+		switch {
+		case afterKey == "":
+			read.era, read.first = page.Era, page.Revision
+		case page.Era != read.era:
+			return wholeRead{}, errEraChanges
 		}
 		read.newest = page.Revision
 		for _, item := range page.Items {
@@ -422,7 +468,7 @@
 		return
 	}
 	m.failing = true
-	m.log.Warn("store does not answer, keeping the last copy", zap.Uint64("revision", m.table.Revision()), zap.Error(err))
+	m.log.Warn("store does not answer, keeping the last copy", zap.Uint64("revision", m.table.Version().Revision), zap.Error(err))
 }
 
 // readSucceeded ends a read that began at start, after marks were noted. It reports whether
@@ -431,18 +477,24 @@
 	m.publishMu.Lock()
 	defer m.publishMu.Unlock()
 	m.mu.Lock()
+	if read.era < m.eraSeen {
+		m.mu.Unlock()
+		m.readFailed(errOldEra)
+
+		return false
+	}
 	m.reading = false
 	m.noteRead(start.Elapsed())
 	if m.failing {
 		m.failing = false
-		m.log.Info("store answers", zap.Uint64("revision", read.first), zap.Int("items", len(read.items)))
+		m.log.Info("store answers", zap.Uint64("revision", read.first), zap.Uint64("era", read.era), zap.Int("items", len(read.items)))
 	}
 	m.freshAt, m.ownReadAt = max(m.freshAt, start.Elapsed()), start.Elapsed()
-	next, changed := m.table.WithRead(read.items, read.first, read.newest)
-	m.table = next
+	next, changed := m.table.WithRead(read.items, read.era, read.first, read.newest)
 	if changed {
 		m.replace(next)
 	}
+	m.table = next
 	m.mu.Unlock()
 	if changed {
 		m.publish()
@@ -450,8 +502,8 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	// The copy shows at least what the read has shown, so the read proves it.
-	if m.table.IsExact() {
-		m.proof = m.proof.WithReading(proof.Reading{Revision: m.table.Revision(), Shown: m.table.Shown(), After: start})
+	if m.isExact() && read.era == m.table.Version().Era {
+		m.proof = m.proof.WithReading(proof.Reading{Version: m.table.Version(), Shown: m.table.Shown(), After: start})
 		m.ownMarks = marks
 	}
 
@@ -460,21 +512,26 @@
 
 // replace replaces the copy. Callers hold m.mu.
 func (m *Mirror) replace(next table.Copy) {
+	if era := next.Version().Era; m.table.Loaded() && era > m.table.Version().Era {
+		m.noteNewEra(era)
+	}
 	m.table, m.replacedAt = next, m.clock.Now()
+	m.eraSeen = max(m.eraSeen, next.Version().Era)
 	m.keepMissing()
 }
 
-// ObserveRevision records the revision of another entry VM's copy. readAge is how long
+// ObserveVersion records the version of another entry VM's copy. readAge is how long
 // ago that entry VM itself read the copy from the store, or nothing if it did not.
-// ObserveRevision reports whether the own copy is older or missing.
-func (m *Mirror) ObserveRevision(revision uint64, readAge option.Option[time.Duration]) bool {
+// ObserveVersion reports whether the own copy is older or missing.
+func (m *Mirror) ObserveVersion(version table.Version, readAge option.Option[time.Duration]) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.eraSeen = max(m.eraSeen, version.Era)
 	age, read := readAge.Get()
 	if read {
 		m.noteRead(m.clock.Now() - age)
 	}
-	if !m.table.Loaded() || revision > m.table.Revision() {
+	if !m.table.Loaded() || m.table.Version().Before(version) {
 		if read {
 			m.newerReadAt = max(m.newerReadAt, m.clock.Now()-age)
 		}
@@ -482,21 +539,21 @@
 		return true
 	}
 	trusted := m.table.IsExact() || m.clock.Now() < m.replacedAt+copyGraceFactor*m.options.MaxAge
-	if read && revision == m.table.Revision() && trusted {
+	if read && version == m.table.Version() && trusted {
 		m.freshAt = max(m.freshAt, m.clock.Now()-age)
 	}
 
 	return false
 }
 
-// ChangesSince returns what changed in the table after a revision, or the whole table, see
-// table.Copy.DeltaSince. Revision 0 stands for no copy.
-func (m *Mirror) ChangesSince(revision uint64) Delta {
+// ChangesSince returns what changed in the table after a version, or the whole table, see
+// table.Copy.DeltaSince. The zero version stands for no copy.
+func (m *Mirror) ChangesSince(version table.Version) Delta {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.clock.Now()
-	delta := Delta{Delta: m.table.DeltaSince(revision), ReadAgeMillis: (now - m.readAt.Or(now)).Milliseconds()}
-	if revision == 0 {
+	delta := Delta{Delta: m.table.DeltaSince(version), ReadAgeMillis: (now - m.readAt.Or(now)).Milliseconds()}
+	if version.Revision == 0 {
 		delta.Kept, delta.KeptMillis = m.kept, (m.keptUntil - now).Milliseconds()
 	}
 
--- a/internal/run/mirror/mirror_test.go
+++ b/internal/run/mirror/mirror_test.go
@@ -16,6 +16,7 @@
 	"github.com/greengagetally/greengagetally/internal/clock/timer"
 	"github.com/greengagetally/greengagetally/internal/run/mirror"
 	"github.com/greengagetally/greengagetally/internal/value/option"
+	"github.com/greengagetally/greengagetally/internal/value/table"
 )
 
 var errStoreUnreachable = errors.New("store is unreachable")
@@ -24,6 +25,7 @@
 type store struct {
 	items       map[string]mirror.Item
 	revision    uint64
+	era         uint64
 	unreachable bool
 	calls       int
 	// afterPage is called after the first page of a read, if it is not nil.
@@ -52,7 +54,7 @@
 		}
 	}
 	sort.Strings(keys)
-	page := mirror.Page{Revision: s.revision, More: len(keys) > 2}
+	page := mirror.Page{Revision: s.revision, Era: s.era, More: len(keys) > 2}
 	for _, key := range keys[:min(len(keys), 2)] {
 		page.Items = append(page.Items, s.items[key])
 	}
@@ -97,7 +99,7 @@
 // copyTo copies the changes since the copy of another mirror to that mirror.
 func (f *fixture) copyTo(t *testing.T, to *fixture) {
 	t.Helper()
-	base, _ := to.mirror.Revision()
+	base, _ := to.mirror.Version()
 	require.True(t, to.mirror.ApplyDelta(f.mirror.ChangesSince(base)))
 }
 
@@ -135,11 +137,11 @@
 	t.Parallel()
 	f := newFixture(newStore(1), 0)
 	f.mirror.Read(t.Context())
-	revision, ok := f.mirror.Revision()
+	revision, ok := f.mirror.Version()
 	require.True(t, ok)
 	for range 20 {
 		f.clock.Advance(400 * time.Millisecond)
-		require.False(t, f.mirror.ObserveRevision(revision, option.Some(100*time.Millisecond)))
+		require.False(t, f.mirror.ObserveVersion(revision, option.Some(100*time.Millisecond)))
 		require.False(t, f.mirror.Due(0, 0))
 	}
 	f.clock.Advance(450 * time.Millisecond)
@@ -170,9 +172,9 @@
 	s.put("t/1", "y")
 	s.remove("t/2")
 	ahead.mirror.Read(t.Context())
-	revision, _ := ahead.mirror.Revision()
-	require.True(t, behind.mirror.ObserveRevision(revision, option.None[time.Duration]()))
-	old := behind.mirror.ChangesSince(0)
+	revision, _ := ahead.mirror.Version()
+	require.True(t, behind.mirror.ObserveVersion(revision, option.None[time.Duration]()))
+	old := behind.mirror.ChangesSince(table.Version{})
 	ahead.copyTo(t, behind)
 	require.Equal(t, []string{"t/0", "t/1"}, behind.keys())
 	require.Equal(t, "y", string(behind.mirror.Snapshot().Items["t/1"].Value))
@@ -190,7 +192,7 @@
 	s.put("t/9", "new")
 	s.remove("t/0")
 	ahead.mirror.Read(t.Context())
-	base, _ := behind.mirror.Revision()
+	base, _ := behind.mirror.Version()
 	delta := ahead.mirror.ChangesSince(base)
 	require.False(t, delta.Whole)
 	require.Len(t, delta.Items, 1)
@@ -258,10 +260,10 @@
 	f.mirror.Read(t.Context())
 	s.afterPage = nil
 	s.remove("t/9")
-	revision, _ := f.mirror.Revision()
+	revision, _ := f.mirror.Version()
 	for range 8 {
 		f.clock.Advance(200 * time.Millisecond)
-		f.mirror.ObserveRevision(revision, option.Some(time.Duration(0)))
+		f.mirror.ObserveVersion(revision, option.Some(time.Duration(0)))
 	}
 	require.True(t, f.mirror.Due(0, 0))
 	f.mirror.Read(t.Context())
@@ -279,9 +281,9 @@
 		reader.mirror.Read(t.Context())
 		reader.copyTo(t, copier)
 		for range 5 {
-			revision, _ := reader.mirror.Revision()
+			revision, _ := reader.mirror.Version()
 			age, _ := reader.mirror.OwnReadAge()
-			copier.mirror.ObserveRevision(revision, option.Some(age))
+			copier.mirror.ObserveVersion(revision, option.Some(age))
 			require.False(t, copier.mirror.Due(1, 1))
 			reader.clock.Advance(100 * time.Millisecond)
 			copier.clock.Advance(100 * time.Millisecond)
@@ -377,13 +379,13 @@
 	s := newStore(3)
 	f := newFixture(s, 2*time.Second)
 	f.mirror.Read(t.Context())
-	revision, _ := f.mirror.Revision()
+	revision, _ := f.mirror.Version()
 	for range 10 {
 		s.unreachable = true
 		require.False(t, f.mirror.Read(t.Context()))
 		s.unreachable = false
 		f.clock.Advance(500 * time.Millisecond)
-		f.mirror.ObserveRevision(revision, option.Some(100*time.Millisecond))
+		f.mirror.ObserveVersion(revision, option.Some(100*time.Millisecond))
 	}
 	s.remove("t/0")
 	require.True(t, f.mirror.Read(t.Context()))
@@ -478,15 +480,15 @@
 	s := newStore(1)
 	a, b := newFixture(s, 0), newFixture(s, 0)
 	a.mirror.Read(t.Context())
-	base, _ := a.mirror.Revision()
-	b.mirror.ApplyDelta(a.mirror.ChangesSince(0))
+	base, _ := a.mirror.Version()
+	b.mirror.ApplyDelta(a.mirror.ChangesSince(table.Version{}))
 	report := func(from, to *fixture) {
 		age, ok := from.mirror.OwnReadAge()
 		reported := option.None[time.Duration]()
 		if ok {
 			reported = option.Some(age)
 		}
-		require.False(t, to.mirror.ObserveRevision(base, reported))
+		require.False(t, to.mirror.ObserveVersion(base, reported))
 	}
 	const transit = 100 * time.Millisecond
 	for range 20 {
@@ -533,7 +535,7 @@
 						}
 					}
 					if rank > 0 {
-						f.mirror.ObserveRevision(s.revision, option.Some(time.Duration(0)))
+						f.mirror.ObserveVersion(table.Version{Revision: s.revision}, option.Some(time.Duration(0)))
 					}
 					f.clock.Advance(step)
 				}
--- a/internal/run/mirror/proof_test.go
+++ b/internal/run/mirror/proof_test.go
@@ -193,14 +193,14 @@
 		return
 	}
 	if after, ok := vm.journal.Before(p.reading.Marks); ok {
-		vm.mirror.ObserveReading(proof.Reading{Revision: p.reading.Revision, Shown: p.reading.Shown, After: after})
+		vm.mirror.ObserveReading(proof.Reading{Version: p.reading.Version, Shown: p.reading.Shown, After: after})
 	}
 }
 
 // copyTable copies the table from one entry VM to another.
 func (f *fleet) copyTable(from, to int) {
-	base, _ := f.vms[to].mirror.Revision()
-	if revision, ok := f.vms[from].mirror.Revision(); ok && revision > base {
+	base, _ := f.vms[to].mirror.Version()
+	if revision, ok := f.vms[from].mirror.Version(); ok && base.Before(revision) {
 		f.vms[to].mirror.ApplyDelta(f.vms[from].mirror.ChangesSince(base))
 	}
 }
--- a/internal/steer/proof/proof.go
+++ b/internal/steer/proof/proof.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/greengagetally/greengagetally/internal/value/option"
+	"github.com/greengagetally/greengagetally/internal/value/table"
 )
 
 // maxPending bounds the readings that are kept until a copy shows what they saw.
@@ -49,33 +50,34 @@
 // Copy is the state of the proof for one copy of a table. It does not change; the methods
 // that begin with With return a new state. The zero value stands for no copy.
 type Copy struct {
-	// The copy was the table at revision if it is exact, and shows all changes up to shown.
-	revision, shown uint64
-	exact           bool
-	provenAt        option.Option[Moment]
+	// The copy was the table at version if it is exact, and shows all changes up to shown.
+	version, shown table.Version
+	exact          bool
+	provenAt       option.Option[Moment]
 	// pending are readings that saw a newer table than the copy shows.
 	pending []Reading
 }
 
 // Reading is a read of the table by some entry VM.
 type Reading struct {
-	// Revision is that of the reader's exact copy after the read, and Shown the revision up to
+	// Version is that of the reader's exact copy after the read, and Shown the version up to
 	// which this copy shows all changes. They differ when the read showed no change of the
 	// table, while the store's revision rose.
-	Revision, Shown uint64
+	Version, Shown table.Version
 	// After is a moment before the read began.
 	After Moment
 }
 
-// WithCopy returns the state after the copy was replaced by one of a revision, which shows
-// all changes up to shown. A copy that is not exact keeps its proof.
-func (c Copy) WithCopy(revision, shown uint64, exact bool) Copy {
-	if shown < c.shown {
+// WithCopy returns the state after the copy was replaced by one of a version, which shows
+// all changes up to shown. A copy that is not exact keeps its proof, as does one of a new era:
+// what it lacks of the era before stays in force until the store has it again.
+func (c Copy) WithCopy(version, shown table.Version, exact bool) Copy {
+	if shown.Before(c.shown) {
 		// A reading came while the copy was replaced.
 		c.provenAt = option.None[Moment]()
 	}
 	pending := c.pending
-	c.revision, c.shown, c.exact, c.pending = revision, shown, exact, nil
+	c.version, c.shown, c.exact, c.pending = version, shown, exact, nil
 	for _, r := range pending {
 		c = c.WithReading(r)
 	}
@@ -85,10 +87,16 @@
 
 // WithReading returns the state after a reading became known. It proves the copy if that is
 // equal to the reader's copy, or shows all that the read could show. Another copy of a later
-// revision than the reader's may lack a change that was undone since.
+// revision than the reader's may lack a change that was undone since, and one of another era
+// any change.
 func (c Copy) WithReading(r Reading) Copy {
-	if c.exact && (c.Equals(r) || r.Shown <= c.revision) {
-		c.shown = max(c.shown, r.Shown)
+	if r.Version.Era < c.version.Era {
+		return c
+	}
+	if c.exact && r.Version.Era == c.version.Era && (c.Equals(r) || !c.version.Before(r.Shown)) {
+		if c.shown.Before(r.Shown) {
+			c.shown = r.Shown
+		}
 		if last, ok := c.provenAt.Get(); !ok || r.After.After(last) {
 			c.provenAt = option.Some(r.After)
 		}
@@ -96,7 +104,7 @@
 		return c
 	}
 	for i, p := range c.pending {
-		if p.Revision == r.Revision && p.Shown <= r.Shown {
+		if p.Version == r.Version && !r.Shown.Before(p.Shown) {
 			c.pending = slices.Delete(slices.Clone(c.pending), i, i+1)
 
 			break
@@ -112,7 +120,7 @@
 
 // Equals reports whether the copy is known to equal the reader's.
 func (c Copy) Equals(r Reading) bool {
-	return c.exact && r.Revision == c.revision
+	return c.exact && r.Version == c.version
 }
 
 // ProvenAt returns the time before which no change is missing from the copy. ok is false
--- a/internal/steer/proof/proof_test.go
+++ b/internal/steer/proof/proof_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/greengagetally/greengagetally/internal/steer/proof"
+	"github.com/greengagetally/greengagetally/internal/value/table"
 )
 
 // at returns a moment a number of milliseconds after the start of the process.
@@ -99,21 +100,30 @@
 		return int(m.Elapsed().Milliseconds())
 	}
 	reading := func(revision, shown uint64, millis int) proof.Reading {
-		return proof.Reading{Revision: revision, Shown: shown, After: at(millis)}
+		return proof.Reading{Version: table.Version{Era: 1, Revision: revision}, Shown: table.Version{Era: 1, Revision: shown}, After: at(millis)}
 	}
+	v := func(revision uint64) table.Version { return table.Version{Era: 1, Revision: revision} }
 	var c proof.Copy
 	c = c.WithReading(reading(5, 6, 100))
 	require.Zero(t, provenAt(c), "there is no copy")
-	older := c.WithCopy(4, 4, true).WithReading(reading(7, 8, 300)).WithReading(reading(7, 7, 200))
+	older := c.WithCopy(v(4), v(4), true).WithReading(reading(7, 8, 300)).WithReading(reading(7, 7, 200))
 	require.Zero(t, provenAt(older))
-	require.Equal(t, 100, provenAt(older.WithCopy(6, 6, true)))
-	require.Equal(t, 300, provenAt(older.WithCopy(6, 6, true).WithCopy(8, 8, true)))
-	require.Equal(t, 300, provenAt(older.WithCopy(7, 7, true)), "the same copy as the reader's")
-	require.Zero(t, provenAt(older.WithCopy(7, 7, false)), "not known to be the same")
-	require.Equal(t, 300, provenAt(older.WithCopy(8, 8, true).WithReading(reading(2, 3, 250))))
-	require.Zero(t, provenAt(c.WithCopy(4, 4, true).WithReading(reading(3, 5, 300))), "lacks a change that was undone")
-	proven := c.WithCopy(4, 4, true).WithReading(reading(4, 9, 300))
+	require.Equal(t, 100, provenAt(older.WithCopy(v(6), v(6), true)))
+	require.Equal(t, 300, provenAt(older.WithCopy(v(6), v(6), true).WithCopy(v(8), v(8), true)))
+	require.Equal(t, 300, provenAt(older.WithCopy(v(7), v(7), true)), "the same copy as the reader's")
+	require.Zero(t, provenAt(older.WithCopy(v(7), v(7), false)), "not known to be the same")
+	require.Equal(t, 300, provenAt(older.WithCopy(v(8), v(8), true).WithReading(reading(2, 3, 250))))
+	require.Zero(t, provenAt(c.WithCopy(v(4), v(4), true).WithReading(reading(3, 5, 300))), "lacks a change that was undone")
+	proven := c.WithCopy(v(4), v(4), true).WithReading(reading(4, 9, 300))
 	require.Equal(t, 300, provenAt(proven))
-	require.Equal(t, 100, provenAt(proven.WithCopy(8, 8, true)), "older than what the last reading showed")
-	require.Equal(t, 300, provenAt(proven.WithCopy(9, 9, true)))
+	require.Equal(t, 100, provenAt(proven.WithCopy(v(8), v(8), true)), "older than what the last reading showed")
+	require.Equal(t, 300, provenAt(proven.WithCopy(v(9), v(9), true)))
+	restored := table.Version{Era: 2, Revision: 3}
+	next := proven.WithCopy(restored, restored, true)
+	require.Equal(t, 300, provenAt(next), "what was proven stays in force")
+	require.Equal(t, 300, provenAt(next.WithReading(reading(1, 2, 400))), "read before the store came back")
+	require.Equal(t, 500, provenAt(next.WithReading(proof.Reading{Version: restored, Shown: restored, After: at(500)})))
+	early := proven.WithReading(proof.Reading{Version: restored, Shown: restored, After: at(500)})
+	require.Equal(t, 300, provenAt(early), "the copy has not come")
+	require.Equal(t, 500, provenAt(early.WithCopy(restored, restored, true)))
 }
--- a/internal/value/table/table.go
+++ b/internal/value/table/table.go
@@ -4,13 +4,28 @@
 // A copy that was read in parts shows all changes up to its revision and may show some
 // later ones, because the store changed between the parts. So a copy has two revisions:
 // all changes up to Revision are in it, and none after Newest.
+//
+// A store that came back from an older copy gives out revisions again. It has a new era then,
+// and revisions are compared only within one era.
 package table
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 )
 
+// Version is a revision of the store in one of its eras.
+type Version struct {
+	Era, Revision uint64
+}
+
+// Before reports whether v is an older version than other: that of a lower era, or of a lower
+// revision in the same era.
+func (v Version) Before(other Version) bool {
+	return cmp.Or(cmp.Compare(v.Era, other.Era), cmp.Compare(v.Revision, other.Revision)) < 0
+}
+
 // Item is one key of the store with its value.
 type Item struct {
 	Key   string
@@ -29,8 +44,14 @@
 	Since   uint64
 	Items   map[string]Item
 	Deleted []string
-	// Revision and Newest are those of the sender's copy.
+	// Revision and Newest are those of the sender's copy, in the era Era.
 	Revision, Newest uint64
+	Era              uint64
+}
+
+// version returns the version of the sender's copy.
+func (d Delta) version() Version {
+	return Version{Era: d.Era, Revision: d.Revision}
 }
 
 const (
@@ -56,7 +77,9 @@
 // Copy is a copy of a whole table with the history of its deletions. It does not change;
 // the methods that begin with With return a new copy. The zero value is no copy yet.
 type Copy struct {
-	items            map[string]Item
+	items map[string]Item
+	// The revisions are those of the era, and so are those of the steps.
+	era              uint64
 	revision, newest uint64
 	// shown is the latest revision up to which the copy is known to show all changes. It may
 	// be later than revision, which stays while the table does not change.
@@ -70,17 +93,17 @@
 	return c.items
 }
 
-// Revision returns the revision up to which the copy shows all changes.
-func (c Copy) Revision() uint64 {
-	return c.revision
+// Version returns the version up to which the copy shows all changes.
+func (c Copy) Version() Version {
+	return Version{Era: c.era, Revision: c.revision}
 }
 
-// Shown returns the latest revision up to which the copy is known to show all changes.
-func (c Copy) Shown() uint64 {
-	return c.shown
+// Shown returns the latest version up to which the copy is known to show all changes.
+func (c Copy) Shown() Version {
+	return Version{Era: c.era, Revision: c.shown}
 }
 
-// WithShown returns the copy, which is known to show all changes up to a revision.
+// WithShown returns the copy, which is known to show all changes up to a revision of its era.
 func (c Copy) WithShown(revision uint64) Copy {
 	c.shown = max(c.shown, revision)
 
@@ -98,19 +121,23 @@
 	return len(c.steps) > 0
 }
 
-// WithRead returns the copy after a read of the whole table, whose first part had the
-// given revision and whose last part had the revision newest. It returns false when the
+// WithRead returns the copy after a read of the whole table in an era, whose first part had
+// the given revision and whose last part had the revision newest. It returns false when the
 // read shows nothing that the copy does not show, with the copy that is known to show so
 // much.
-func (c Copy) WithRead(items map[string]Item, revision, newest uint64) (Copy, bool) {
-	if c.Loaded() && (revision <= c.revision || revision < c.shown) {
+func (c Copy) WithRead(items map[string]Item, era, revision, newest uint64) (Copy, bool) {
+	d := Delta{Whole: true, Items: items, Era: era, Revision: revision, Newest: newest}
+	if !c.Loaded() || era > c.era {
+		return c.with(d), true
+	}
+	if era < c.era || (revision <= c.revision || revision < c.shown) {
 		return c, false
 	}
-	if c.Loaded() && c.IsExact() && sameItems(items, c.items) {
+	if c.IsExact() && sameItems(items, c.items) {
 		return c.WithShown(revision), false
 	}
 
-	return c.with(Delta{Whole: true, Items: items, Revision: revision, Newest: newest}), true
+	return c.with(d), true
 }
 
 // sameItems reports whether two tables have the same keys at the same revisions.
@@ -120,24 +147,27 @@
 
 // WithDelta returns the copy after the changes of a delta. It returns false when the
 // delta is not newer than the copy or than what the copy is known to show, or when it is
-// complete only from a later revision.
+// complete only from a later revision or for another era.
 func (c Copy) WithDelta(d Delta) (Copy, bool) {
-	usable := d.Whole || c.Loaded() && d.Since > 0 && d.Since <= c.revision
-	if !usable || d.Revision <= c.revision {
+	usable := d.Whole || c.Loaded() && d.Era == c.era && d.Since > 0 && d.Since <= c.revision
+	if !usable || !c.Version().Before(d.version()) {
 		return c, false
 	}
 	next := c.with(d)
 	// Items may have been added and deleted since, so that the sender has them still.
-	if d.Revision < c.shown && !sameItems(next.items, c.items) {
+	if d.version().Before(c.Shown()) && !sameItems(next.items, c.items) {
 		return c, false
 	}
 
 	return next, true
 }
 
-// with applies a delta and records its deletions.
+// with applies a delta and records its deletions. Nothing is kept of another era.
 func (c Copy) with(d Delta) Copy {
-	next := Copy{items: c.itemsWith(d), revision: d.Revision, newest: max(c.newest, d.Newest, d.Revision), shown: max(c.shown, d.Revision)}
+	if d.Era != c.era {
+		c = Copy{era: d.Era}
+	}
+	next := Copy{items: c.itemsWith(d), era: d.Era, revision: d.Revision, newest: max(c.newest, d.Newest, d.Revision), shown: max(c.shown, d.Revision)}
 	s := step{revision: next.revision, newest: next.newest}
 	for key := range c.items {
 		if _, ok := next.items[key]; !ok {
@@ -192,18 +222,19 @@
 	}
 }
 
-// DeltaSince returns the changes for a copy of the given revision. They count from the
+// DeltaSince returns the changes for a copy of the given version. They count from the
 // latest revision, not after the given one, at which this copy was the table. If its
-// history does not reach back so far, the delta is the whole table.
-func (c Copy) DeltaSince(revision uint64) Delta {
-	d := Delta{Items: map[string]Item{}, Revision: c.revision, Newest: c.newest}
+// history does not reach back so far, or the version is of another era, the delta is the
+// whole table.
+func (c Copy) DeltaSince(version Version) Delta {
+	d := Delta{Items: map[string]Item{}, Era: c.era, Revision: c.revision, Newest: c.newest}
 	for _, s := range c.steps {
-		if s.isExact() && s.revision <= revision {
+		if s.isExact() && version.Era == c.era && s.revision <= version.Revision {
 			d.Since = s.revision
 		}
 	}
 	if d.Since == 0 {
-		return Delta{Whole: true, Items: c.items, Revision: c.revision, Newest: c.newest}
+		return Delta{Whole: true, Items: c.items, Era: c.era, Revision: c.revision, Newest: c.newest}
 	}
 	for key, item := range c.items {
 		if item.Revision > d.Since {
--- a/internal/value/table/table_test.go
+++ b/internal/value/table/table_test.go
@@ -13,8 +13,8 @@
 
 // store is a table whose every change has a revision.
 type store struct {
-	items    map[string]table.Item
-	revision uint64
+	items         map[string]table.Item
+	era, revision uint64
 }
 
 func (s *store) put(key string) {
@@ -43,7 +43,7 @@
 			items[key] = item
 		}
 	}
-	c, _ = c.WithRead(items, revision, s.revision)
+	c, _ = c.WithRead(items, s.era, revision, s.revision)
 
 	return c
 }
@@ -60,7 +60,7 @@
 }
 
 func send(from, to table.Copy) table.Copy {
-	next, _ := to.WithDelta(from.DeltaSince(to.Revision()))
+	next, _ := to.WithDelta(from.DeltaSince(to.Version()))
 
 	return next
 }
@@ -88,7 +88,7 @@
 	s.remove("k7")
 	s.put("k1")
 	sender = s.read(sender, unchanged)
-	require.False(t, sender.DeltaSince(receiver.Revision()).Whole)
+	require.False(t, sender.DeltaSince(receiver.Version()).Whole)
 	require.Equal(t, s.items, send(sender, receiver).Items())
 }
 
@@ -101,9 +101,9 @@
 	s.put("k1")
 	receiver := s.read(table.Copy{}, unchanged)
 	sender = s.read(sender, func() { s.remove("k8") })
-	require.Equal(t, receiver.Revision(), sender.Revision())
+	require.Equal(t, receiver.Version().Revision, sender.Version().Revision)
 	sender = s.read(sender, unchanged)
-	require.Greater(t, sender.Revision(), receiver.Revision(), "the receiver would not ask for the deletion")
+	require.Greater(t, sender.Version().Revision, receiver.Version().Revision, "the receiver would not ask for the deletion")
 	require.Equal(t, s.items, send(sender, receiver).Items())
 }
 
@@ -177,7 +177,7 @@
 		copies[0] = s.read(copies[0], unchanged)
 		for i, c := range copies {
 			c = send(copies[0], c)
-			require.GreaterOrEqual(t, c.Revision(), copies[0].Revision(), "seed %d, copy %d", seed, i)
+			require.GreaterOrEqual(t, c.Version().Revision, copies[0].Version().Revision, "seed %d, copy %d", seed, i)
 			require.True(t, maps.EqualFunc(s.items, c.Items(), func(a, b table.Item) bool { return a.Revision == b.Revision }),
 				"seed %d, copy %d: %v instead of %v", seed, i, c.Items(), s.items)
 		}
@@ -197,7 +197,7 @@
 		sender = s.read(sender, unchanged)
 		s.put("k8")
 	})
-	require.Greater(t, sender.Revision(), receiver.Revision())
+	require.Greater(t, sender.Version().Revision, receiver.Version().Revision)
 	receiver = send(sender, receiver)
 	require.Equal(t, s.items, receiver.Items())
 	require.False(t, receiver.IsExact())
@@ -211,23 +211,66 @@
 	t.Parallel()
 	a, b := table.Item{Key: "a", Revision: 1}, table.Item{Key: "b", Revision: 5}
 	one, both := map[string]table.Item{"a": a}, map[string]table.Item{"a": a, "b": b}
-	before, _ := table.Copy{}.WithRead(one, 4, 4)
-	behind, _ := table.Copy{}.WithRead(both, 6, 6)
-	after, changed := before.WithRead(one, 8, 8)
+	before, _ := table.Copy{}.WithRead(one, 0, 4, 4)
+	behind, _ := table.Copy{}.WithRead(both, 0, 6, 6)
+	after, changed := before.WithRead(one, 0, 8, 8)
 	require.False(t, changed)
-	require.Equal(t, uint64(8), after.Shown())
-	_, ok := after.WithDelta(behind.DeltaSince(after.Revision()))
+	require.Equal(t, uint64(8), after.Shown().Revision)
+	_, ok := after.WithDelta(behind.DeltaSince(after.Version()))
 	require.False(t, ok)
-	_, changed = after.WithRead(both, 7, 7)
+	_, changed = after.WithRead(both, 0, 7, 7)
 	require.False(t, changed, "a read that was slower")
-	same, _ := table.Copy{}.WithRead(one, 7, 7)
-	next, ok := after.WithDelta(same.DeltaSince(after.Revision()))
+	same, _ := table.Copy{}.WithRead(one, 0, 7, 7)
+	next, ok := after.WithDelta(same.DeltaSince(after.Version()))
 	require.True(t, ok, "equal copies get one revision")
-	require.Equal(t, uint64(7), next.Revision())
-	require.Equal(t, uint64(8), next.Shown())
-	newer, _ := behind.WithRead(both, 9, 9)
-	require.Equal(t, uint64(9), newer.Shown())
+	require.Equal(t, uint64(7), next.Version().Revision)
+	require.Equal(t, uint64(8), next.Shown().Revision)
+	newer, _ := behind.WithRead(both, 0, 9, 9)
+	require.Equal(t, uint64(9), newer.Shown().Revision)
 	next, ok = after.WithDelta(table.Delta{Whole: true, Items: both, Revision: 9, Newest: 9})
 	require.True(t, ok)
 	require.Equal(t, both, next.Items())
 }
+
+// Guards against copies that mix eras: an item of the era before that stays, or a delta that
+// is applied to a copy of another era whose revisions are given out again.
+func TestCopiesFollowTheStoreAcrossEras(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(300) {
+		random := rand.New(rand.NewPCG(seed, 2)) //nolint:gosec // Tests need the same numbers again.
+		s := newStore(10)
+		older := *s
+		older.items = maps.Clone(s.items)
+		copies := make([]table.Copy, 4)
+		for range 200 {
+			i, j := random.IntN(len(copies)), random.IntN(len(copies))
+			before := copies[i].Version()
+			switch random.IntN(12) {
+			case 0:
+				s.put(fmt.Sprintf("k%d", random.IntN(10)))
+			case 1:
+				s.remove(fmt.Sprintf("k%d", random.IntN(10)))
+			case 2:
+				older.items, older.revision = maps.Clone(s.items), s.revision
+			case 3:
+				s.items, s.revision = maps.Clone(older.items), older.revision
+				s.era++
+			case 4, 5, 6:
+				copies[i] = s.read(copies[i], func() { s.put("k7") })
+			default:
+				copies[i] = send(copies[j], copies[i])
+			}
+			require.False(t, copies[i].Version().Before(before), "seed %d", seed)
+		}
+		copies[0] = s.read(copies[0], unchanged)
+		for i, c := range copies {
+			if i > 0 {
+				c = send(copies[0], c)
+			}
+			c = s.read(c, unchanged)
+			require.Equal(t, s.era, c.Version().Era)
+			require.True(t, maps.EqualFunc(s.items, c.Items(), func(a, b table.Item) bool { return a.Revision == b.Revision }),
+				"seed %d, copy %d: %v instead of %v", seed, i, c.Items(), s.items)
+		}
+	}
+}
--- a/internal/wire/gossip/gossip.go
+++ b/internal/wire/gossip/gossip.go
@@ -21,6 +21,7 @@
 	"github.com/klauspost/compress/s2"
 
 	"github.com/greengagetally/greengagetally/internal/steer/proof"
+	"github.com/greengagetally/greengagetally/internal/value/table"
 )
 
 const (
@@ -172,6 +173,13 @@
 	Reading *Reading `cbor:"2,keyasint,omitempty"`
 	// Failing is true when the sender's last read of the table from the store failed.
 	Failing bool `cbor:"3,keyasint,omitempty"`
+	// Era is the store's era to which Revision belongs.
+	Era uint64 `cbor:"4,keyasint,omitempty"`
+}
+
+// Version returns the version of the sender's copy.
+func (t TableState) Version() table.Version {
+	return table.Version{Era: t.Era, Revision: t.Revision}
 }
 
 // Reading describes a completed read of a table from the store.
@@ -185,6 +193,13 @@
 	Marks []proof.Mark `cbor:"3,keyasint,omitempty"`
 	// Shown is the revision up to which the reader's copy shows all changes. 0 without marks.
 	Shown uint64 `cbor:"4,keyasint,omitempty"`
+	// Era is the store's era to which Revision and Shown belong.
+	Era uint64 `cbor:"5,keyasint,omitempty"`
+}
+
+// Version returns the version of the table that was read.
+func (r Reading) Version() table.Version {
+	return table.Version{Era: r.Era, Revision: r.Revision}
 }
 
 // Bus exchanges messages and copies of tables with the other entry VMs.
@@ -197,7 +212,7 @@
 	receive       func(Message, netip.AddrPort)
 	// malformed is called for datagrams that cannot be decoded.
 	malformed     func(netip.AddrPort, error)
-	encodeChanges func(name string, since uint64) ([]byte, bool)
+	encodeChanges func(name string, since table.Version) ([]byte, bool)
 
 	// copySlots holds an element for each copy that is being sent. The capacity limits the
 	// copies that share the VM's link: with too many on a slow link, every transfer would
@@ -216,9 +231,9 @@
 	Receive func(Message, netip.AddrPort)
 	// Malformed gets the source address of a datagram that cannot be decoded, and the error.
 	Malformed func(netip.AddrPort, error)
-	// EncodeChanges returns the changes of the named table since the revision given by
+	// EncodeChanges returns the changes of the named table since the version given by
 	// since, encoded as CBOR. It returns false when there is no copy of the table.
-	EncodeChanges func(name string, since uint64) ([]byte, bool)
+	EncodeChanges func(name string, since table.Version) ([]byte, bool)
 }
 
 // Listen opens a bus at an address. datagramPort is the UDP port for messages and tablePort
@@ -310,10 +325,11 @@
 	return lastErr
 }
 
-// tableRequest asks for the changes of a table since a revision.
+// tableRequest asks for the changes of a table since a revision of an era.
 type tableRequest struct {
 	Table string `cbor:"1,keyasint"`
 	Since uint64 `cbor:"2,keyasint"`
+	Era   uint64 `cbor:"3,keyasint,omitempty"`
 }
 
 // serveTables accepts connections until the bus is closed.
@@ -350,15 +366,15 @@
 		// the meantime.
 		return
 	}
-	if data, ok := b.encodeChanges(r.Table, r.Since); ok {
+	if data, ok := b.encodeChanges(r.Table, table.Version{Era: r.Era, Revision: r.Since}); ok {
 		_, _ = conn.Write(s2.Encode(nil, data))
 	}
 }
 
-// Fetch requests the changes of a table since a revision from the entry VM at an address,
+// Fetch requests the changes of a table since a version from the entry VM at an address,
 // and decodes the changes into v. Connecting and the transfer take at most copyTimeout
 // each; ctx cancels only the connecting.
-func (b *Bus) Fetch(ctx context.Context, ip netip.Addr, table string, since uint64, v any) error {
+func (b *Bus) Fetch(ctx context.Context, ip netip.Addr, name string, since table.Version, v any) error {
 	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
 	defer cancel()
 	// Other entry VMs accept connections only from the listed addresses of entry VMs, so the
@@ -370,25 +386,25 @@
 	}
 	defer func() { _ = conn.Close() }()
 	_ = conn.SetDeadline(time.Now().Add(copyTimeout)) //nolint:forbidigo // Deadlines of connections are wall-clock times.
-	if err := cbor.NewEncoder(conn).Encode(tableRequest{Table: table, Since: since}); err != nil {
-		return fmt.Errorf("ask entry VM %s for %s: %w", ip, table, err)
+	if err := cbor.NewEncoder(conn).Encode(tableRequest{Table: name, Since: since.Revision, Era: since.Era}); err != nil {
+		return fmt.Errorf("ask entry VM %s for %s: %w", ip, name, err)
 	}
 	compressed, err := io.ReadAll(io.LimitReader(conn, maxCopySize))
 	if err != nil {
-		return fmt.Errorf("read %s from entry VM %s: %w", table, ip, err)
+		return fmt.Errorf("read %s from entry VM %s: %w", name, ip, err)
 	}
 	if len(compressed) == 0 {
 		return ErrBusy
 	}
 	if n, err := s2.DecodedLen(compressed); err != nil || n > maxDecodedCopySize {
-		return fmt.Errorf("%s of entry VM %s has %d bytes: %w", table, ip, n, errCopyTooLong)
+		return fmt.Errorf("%s of entry VM %s has %d bytes: %w", name, ip, n, errCopyTooLong)
 	}
 	data, err := s2.Decode(nil, compressed)
 	if err != nil {
-		return fmt.Errorf("decompress %s of entry VM %s: %w", table, ip, err)
+		return fmt.Errorf("decompress %s of entry VM %s: %w", name, ip, err)
 	}
 	if err := cbor.Unmarshal(data, v); err != nil {
-		return fmt.Errorf("decode %s of entry VM %s: %w", table, ip, err)
+		return fmt.Errorf("decode %s of entry VM %s: %w", name, ip, err)
 	}
 
 	return nil
--- a/internal/wire/gossip/gossip_test.go
+++ b/internal/wire/gossip/gossip_test.go
@@ -10,6 +10,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/stretchr/testify/require"
 
+	"github.com/greengagetally/greengagetally/internal/value/table"
 	"github.com/greengagetally/greengagetally/internal/wire/gossip"
 )
 
@@ -26,7 +27,7 @@
 
 // runBus runs a bus on a loopback address until the test ends. It passes messages to
 // received and answers requests for copies with encodeChanges.
-func runBus(t *testing.T, ip string, received chan gossip.Message, encodeChanges func(string, uint64) ([]byte, bool)) (*gossip.Bus, netip.Addr) {
+func runBus(t *testing.T, ip string, received chan gossip.Message, encodeChanges func(string, table.Version) ([]byte, bool)) (*gossip.Bus, netip.Addr) {
 	t.Helper()
 	address := netip.MustParseAddr(ip)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -49,18 +50,19 @@
 }
 
 // noCopies has no copy of any table.
-func noCopies(string, uint64) ([]byte, bool) { return nil, false }
+func noCopies(string, table.Version) ([]byte, bool) { return nil, false }
 
 // Guards against messages that are accepted from addresses that are not listed as entry
 // VMs, and against copies that are sent to such addresses.
 func TestOnlyListedAddressesAreAccepted(t *testing.T) {
 	t.Parallel()
 	received := make(chan gossip.Message, 8)
+	version := table.Version{Era: 2, Revision: 7}
 	longText := strings.Repeat("row ", 100_000)
-	a, addressA := runBus(t, "127.0.0.101", received, func(name string, since uint64) ([]byte, bool) {
+	a, addressA := runBus(t, "127.0.0.101", received, func(name string, since table.Version) ([]byte, bool) {
 		data, err := cbor.Marshal(longText)
 
-		return data, err == nil && name == "t" && since == 7
+		return data, err == nil && name == "t" && since == version
 	})
 	b, addressB := runBus(t, "127.0.0.102", make(chan gossip.Message, 8), noCopies)
 	to := []netip.AddrPort{netip.AddrPortFrom(addressA, datagramPort)}
@@ -68,7 +70,7 @@
 	message := gossip.Message{Report: &gossip.Report{Name: "b", Sequence: 3, Load: load}}
 	require.NoError(t, b.Send(message, to))
 	var copied string
-	require.Error(t, b.Fetch(t.Context(), addressA, "t", 7, &copied))
+	require.Error(t, b.Fetch(t.Context(), addressA, "t", version, &copied))
 	a.SetEntryVMs([]netip.Addr{addressB})
 	require.Eventually(t, func() bool {
 		require.NoError(t, b.Send(message, to))
@@ -79,7 +81,7 @@
 			return false
 		}
 	}, testWait, 10*time.Millisecond)
-	require.NoError(t, b.Fetch(t.Context(), addressA, "t", 7, &copied))
+	require.NoError(t, b.Fetch(t.Context(), addressA, "t", version, &copied))
 	require.Equal(t, longText, copied)
 }
 
@@ -89,7 +91,7 @@
 	t.Parallel()
 	release := make(chan struct{})
 	requested := make(chan struct{}, 16)
-	a, addressA := runBus(t, "127.0.0.111", make(chan gossip.Message, 8), func(string, uint64) ([]byte, bool) {
+	a, addressA := runBus(t, "127.0.0.111", make(chan gossip.Message, 8), func(string, table.Version) ([]byte, bool) {
 		requested <- struct{}{}
 		<-release
 		data, err := cbor.Marshal("x")
@@ -102,14 +104,14 @@
 	for range maxCopies {
 		go func() {
 			var v string
-			results <- b.Fetch(context.Background(), addressA, "t", 0, &v)
+			results <- b.Fetch(context.Background(), addressA, "t", table.Version{}, &v)
 		}()
 	}
 	for range maxCopies {
 		<-requested
 	}
 	var v string
-	require.ErrorIs(t, b.Fetch(t.Context(), addressA, "t", 0, &v), gossip.ErrBusy)
+	require.ErrorIs(t, b.Fetch(t.Context(), addressA, "t", table.Version{}, &v), gossip.ErrBusy)
 	close(release)
 	for range maxCopies {
 		require.NoError(t, <-results)
