--- a/internal/run/direct/customers.go
+++ b/internal/run/direct/customers.go
@@ -8,6 +8,7 @@
 
 	steer "github.com/greengagetally/greengagetally/internal/steer/direct"
 	"github.com/greengagetally/greengagetally/internal/steer/intent"
+	"github.com/greengagetally/greengagetally/internal/value/table"
 	"github.com/greengagetally/greengagetally/internal/wire/http1"
 )
 
@@ -26,8 +27,8 @@
 // configurationInForce is the configuration with the last proof that it was the store's.
 type configurationInForce struct {
 	intent *intent.Intent
-	// revision is that of the copy of the table with which the configuration came.
-	revision uint64
+	// version is that of the copy of the table with which the configuration came.
+	version table.Version
 	// provenAt is the start of the latest read that is known to have shown the configuration,
 	// as a time.Duration since the start of the process, or unproven.
 	provenAt atomic.Int64
@@ -38,8 +39,8 @@
 
 // configurationApplied records that the configuration in force is that of a copy of its
 // table. Proofs of an earlier copy hold for the same configuration.
-func (p *Process) configurationApplied(revision uint64) {
-	next := &configurationInForce{intent: p.intent.Load(), revision: revision}
+func (p *Process) configurationApplied(version table.Version) {
+	next := &configurationInForce{intent: p.intent.Load(), version: version}
 	next.provenAt.Store(unproven)
 	if last := p.inForce.Load(); last != nil && last.intent == next.intent {
 		next.provenAt.Store(last.provenAt.Load())
@@ -50,17 +51,17 @@
 // configurationAge returns how long ago a read of the store began that showed a configuration.
 // It returns false if there is no such read, or another configuration is in force now.
 func (p *Process) configurationAge(current *intent.Intent) (time.Duration, bool) {
-	table := p.mirrors[TableOperatorConfig]
+	config := p.mirrors[TableOperatorConfig]
 	now := p.clock.Now()
 	// The proof may already be that of a copy that is still being decoded. The order of the
 	// calls matters: a copy that arrives between them is newer than the proof.
-	age, proven := table.ProvenAge()
-	revision := table.Snapshot().Revision
+	age, proven := config.ProvenAge()
+	snapshot := config.Snapshot()
 	inForce := p.inForce.Load()
 	if inForce == nil || inForce.intent != current {
 		return 0, false
 	}
-	if proven && revision == inForce.revision {
+	if proven && snapshot.Version() == inForce.version {
 		inForce.provenAt.Store(int64(now - age))
 	}
 	provenAt := inForce.provenAt.Load()
--- a/internal/run/direct/entryvm_test.go
+++ b/internal/run/direct/entryvm_test.go
@@ -46,6 +46,7 @@
 // revision of the table's last change.
 type deployment struct {
 	mu             sync.Mutex
+	era            uint64
 	revision       uint64
 	configVersion  uint64
 	routeTimeout   time.Duration
@@ -92,7 +93,7 @@
 	defer v.mu.Unlock()
 	key := fmt.Sprintf("%s/%d", prefix, v.changedAt[prefix])
 
-	return mirror.Page{Items: []mirror.Item{{Key: key, Revision: v.changedAt[prefix]}}, Revision: v.revision}, nil
+	return mirror.Page{Items: []mirror.Item{{Key: key, Revision: v.changedAt[prefix]}}, Revision: v.revision, Era: v.era}, nil
 }
 
 func (v *view) Prefix(table string) string { return table }
@@ -198,18 +199,28 @@
 // startEntryVMIn runs an entry VM in a region on the loopback address ip.
 func startEntryVMIn(t *testing.T, d *deployment, ip, region string, gracePeriod time.Duration) *runningEntryVM {
 	t.Helper()
+
+	return startEntryVMWith(t, d, ip, func(s *direct.Settings) { s.Steering.Region, s.GracePeriod = region, gracePeriod })
+}
+
+// startEntryVMWith runs an entry VM on the loopback address ip, in the region "r" unless
+// change sets another in its settings.
+func startEntryVMWith(t *testing.T, d *deployment, ip string, change func(*direct.Settings)) *runningEntryVM {
+	t.Helper()
 	core, logs := observer.New(zapcore.InfoLevel)
 	v, m := &view{deployment: d}, metrics.New()
 	l, err := net.Listen("tcp", ip+":0")
 	require.NoError(t, err)
 	address := netip.MustParseAddrPort(l.Addr().String())
 	ctx, cancel := context.WithCancel(context.Background())
-	p, err := direct.New(ctx, direct.Settings{
-		Steering: steer.Settings{Name: "entry-" + ip, Zone: "z1", Region: region, RetryRatio: 0.2, RetryAllowance: 20, RetryWindow: 10 * time.Second, MaxShift: 0.15},
-		Requests: address, Reports: reportsPort, Tables: reportsPort + 1, LookupTTL: lookupTTL, GracePeriod: gracePeriod, TableMaxAge: 200 * time.Millisecond, ConfigurationTime: waitTimeout, MaxBufferedBodyBytes: 1 << 20, MaxBufferedResponseBytes: 4 << 20,
-	}, v, timer.NewSystem(), zap.New(core), m)
+	settings := direct.Settings{
+		Steering: steer.Settings{Name: "entry-" + ip, Zone: "z1", Region: "r", RetryRatio: 0.2, RetryAllowance: 20, RetryWindow: 10 * time.Second, MaxShift: 0.15},
+		Requests: address, Reports: reportsPort, Tables: reportsPort + 1, LookupTTL: lookupTTL, GracePeriod: time.Second, TableMaxAge: 200 * time.Millisecond, ConfigurationTime: waitTimeout, MaxBufferedBodyBytes: 1 << 20, MaxBufferedResponseBytes: 4 << 20,
+	}
+	change(&settings)
+	p, err := direct.New(ctx, settings, v, timer.NewSystem(), zap.New(core), m)
 	require.NoError(t, err)
-	e := &runningEntryVM{Process: p, view: v, address: address.String(), logs: logs, metrics: m, end: cancel, done: make(chan struct{})}
+	e := &runningEntryVM{Process: p, metrics: m, view: v, address: address.String(), logs: logs, end: cancel, done: make(chan struct{})}
 	go func() {
 		defer close(e.done)
 		_ = p.Run(ctx, l)
--- a/internal/run/direct/peers_test.go
+++ b/internal/run/direct/peers_test.go
@@ -48,7 +48,7 @@
 	t.Parallel()
 	clock := timer.NewManual(time.Unix(0, 0))
 	clock.Advance(time.Second)
-	p := &Process{clock: clock, peers: newPeers(EntryVM{}), mirrors: map[string]*mirror.Mirror{
+	p := &Process{clock: clock, peers: newPeers(EntryVM{}, false), mirrors: map[string]*mirror.Mirror{
 		TableServers: mirror.New(nil, clock, zap.NewNop(), mirror.Options{}),
 	}}
 	route := func(host, prefix string, homes ...string) intent.Route {
