Share scarce slots among customers by their limits

Cause: waiting requests were served by the route's priority and arrival, so one customer at six times its usual took the slots of all others.

Change: within a priority level of customer and route, start-time fair queueing over customers decides (internal/steer/fair): weight is the limit, requests in slots count, what left, was refused or was not run does not. A standing queue stands only for customers that ask for over three times their share. An eighth of what becomes free goes to less urgent levels. Without customers the order is as before. The status of a service names waiting customers and those in excess.

--- a/internal/steer/direct/attempt.go
+++ b/internal/steer/direct/attempt.go
@@ -20,7 +20,7 @@
 		return
 	}
 	srv := r.currentServer
-	s.release(r)
+	s.release(r, e.Outcome == Unknown || e.Outcome == Answered)
 	defer s.dispatchFreed(r.service)
 	s.recordOutcome(r, srv, e)
 	if e.Outcome != NotSent {
--- a/internal/steer/direct/bench_test.go
+++ b/internal/steer/direct/bench_test.go
@@ -26,6 +26,20 @@
 	return s, report
 }
 
+// withCustomers adds customers to the configuration of an entry VM.
+func withCustomers(s State) (State, []intent.Customer) {
+	const count = 80
+	byName, list := map[string]intent.Customer{}, make([]intent.Customer, count)
+	for i := range list {
+		list[i] = intent.Customer{Name: fmt.Sprint("customer-", i), Limit: intent.RateLimit{PerSecond: float64(10 + i)}}
+		byName[list[i].Name] = list[i]
+	}
+	in := intent.New(s.intent.Version+1, nil, map[string]intent.Service{"s": {Name: "s"}}, intent.Limits{})
+	s, _ = Reduce(s, IntentChanged{Intent: in.WithCustomers(byName, nil)})
+
+	return s, list
+}
+
 // BenchmarkEvents measures the events of an entry VM by the number of backend servers.
 func BenchmarkEvents(b *testing.B) {
 	for _, servers := range []int{51, 759, 2000} {
@@ -55,6 +69,17 @@
 				s, _ = Reduce(s, AttemptEnded{At: At(now), ID: id, Outcome: Answered, Status: 200})
 			}
 		})
+		b.Run(fmt.Sprint("request-of-customer/", servers), func(b *testing.B) {
+			s, customers := withCustomers(s)
+			for b.Loop() {
+				id++
+				now += time.Millisecond
+				s, _ = Reduce(s, RequestArrived{
+					At: At(now), ID: id, Route: route, Customer: customers[int(id)%len(customers)], Object: fmt.Sprint(id % 600), Deadline: now + 5*time.Second,
+				})
+				s, _ = Reduce(s, AttemptEnded{At: At(now), ID: id, Outcome: Answered, Status: 200})
+			}
+		})
 		b.Run(fmt.Sprint("own-report/", servers), func(b *testing.B) {
 			for b.Loop() {
 				_ = s.Report()
@@ -62,3 +87,43 @@
 		})
 	}
 }
+
+// BenchmarkQueue measures the events of an entry VM with 200 waiting requests, without and
+// with customers.
+func BenchmarkQueue(b *testing.B) {
+	for _, customers := range []int{1, 80} {
+		s, report := largeState(759)
+		list := make([]intent.Customer, customers)
+		if customers > 1 {
+			s, list = withCustomers(s)
+		}
+		for key := range report.InFlight {
+			report.InFlight[key] = 7 * portionsPerSlot
+		}
+		now, id := time.Second, RequestID(0)
+		s, _ = Reduce(s, PeerReported{At: At(now), Peer: "r1", Report: report})
+		route := intent.Route{Name: "route", Host: "h", Prefix: "/", Sticky: true, MaxAttempts: 1, ServiceWeights: []intent.ServiceWeight{{Service: "s", Weight: 1}}}
+		arrive := func() {
+			id++
+			s, _ = Reduce(s, RequestArrived{At: At(now), ID: id, Route: route, Customer: list[int(id)%customers], Object: fmt.Sprint(id % 600), Deadline: now + time.Hour})
+		}
+		for range 200 {
+			arrive()
+		}
+		b.Run(fmt.Sprint("request/", customers), func(b *testing.B) {
+			for b.Loop() {
+				arrive()
+				s, _ = Reduce(s, CallerLeft{At: At(now), ID: id})
+			}
+		})
+		b.Run(fmt.Sprint("tick/", customers), func(b *testing.B) {
+			for b.Loop() {
+				now += time.Microsecond
+				s, _ = Reduce(s, Tick{At: At(now)})
+			}
+		})
+		if len(s.queue("s").waiting) != 200 {
+			b.Fatal("requests do not wait")
+		}
+	}
+}
--- a/internal/steer/direct/direct.go
+++ b/internal/steer/direct/direct.go
@@ -119,6 +119,9 @@
 	// ownShares holds the share of the slots in use of a service that the requests of this
 	// entry VM hold.
 	ownShares map[string]float64
+	// meanLimit is the mean of the customers' limits in requests per second, 0 if there is
+	// no limit.
+	meanLimit float64
 	// roundTrips holds the shortest time that it took to open a connection, by region.
 	roundTrips map[string]time.Duration
 	suspects   suspects
@@ -195,6 +198,7 @@
 	case IntentChanged:
 		if s.intent == nil || e.Intent.Version > s.intent.Version {
 			s.intent = e.Intent
+			s.customersChanged()
 			s.coldRateInputsVersion++
 		}
 	case ServersChanged:
@@ -242,6 +246,7 @@
 		r.divisionPoint = float64(rendezvous.Mix(r.objectHash)>>11) / (1 << 53)
 	}
 	s.requests[r.id] = r
+	r.share = s.shareOf(r)
 	if s.suspects.refuses(s.now, r.fingerprint) {
 		s.refuse(r, ReasonCrashesServers)
 
@@ -249,6 +254,7 @@
 	}
 	s.retryBudget(r.service).countFirstAttempt(s.now)
 	s.demand(r.service).requestedSlotTime += s.residenceTime(r)
+	s.queue(r.service).countRequest(r)
 	s.admit(r)
 }
 
@@ -303,7 +309,7 @@
 	case c.server != nil:
 		s.send(r, c.server)
 	default:
-		r.awaited = c.awaited
+		r.awaited, r.share = c.awaited, s.shareOf(r)
 		s.queue(r.service).push(s.now, r)
 		s.emit(Hold{ID: r.id, Until: r.deadline - r.answerTime})
 	}
@@ -359,6 +365,8 @@
 	srv.inFlight++
 	srv.ownPortions += r.portions
 	s.heldPortions[r.service] += r.portions
+	r.share = s.shareOf(r)
+	s.queue(r.service).begin(r)
 	s.typicalTimes(r).lastSentAt = s.now
 	s.spillover.count(s.now, r.assignedRegion != "" && srv.Region != r.assignedRegion)
 	r.currentServer, r.sentAt = srv, s.now
@@ -401,7 +409,7 @@
 	if !ok {
 		return
 	}
-	s.release(r)
+	s.release(r, true)
 	s.forget(r)
 	s.dispatchFreed(r.service)
 }
@@ -419,18 +427,19 @@
 }
 
 // release ends the attempt in flight, if any, and subtracts it from the server's
-// counts.
-func (s *state) release(r *request) {
+// counts. served is true if the server may have worked for the request.
+func (s *state) release(r *request, served bool) {
 	if r.currentServer != nil {
 		r.currentServer.inFlight--
 		r.currentServer.ownPortions -= r.portions
 		s.heldPortions[r.service] -= r.portions
+		s.queue(r.service).end(r, served)
 		r.currentServer = nil
 	}
 }
 
 func (s *state) queue(service string) *queue {
-	return getOrCreate(s.queues, service, func() *queue { return &queue{} })
+	return getOrCreate(s.queues, service, func() *queue { return newQueue(s.hasCustomers()) })
 }
 
 func (s *state) demand(service string) *demand {
--- a/internal/steer/direct/request.go
+++ b/internal/steer/direct/request.go
@@ -4,14 +4,20 @@
 	"slices"
 	"time"
 
+	"github.com/greengagetally/greengagetally/internal/steer/fair"
 	"github.com/greengagetally/greengagetally/internal/steer/intent"
 )
 
 // request is a caller's request that has no final response yet.
 type request struct {
-	id        RequestID
-	route     intent.Route
-	customer  intent.Customer
+	id       RequestID
+	route    intent.Route
+	customer intent.Customer
+	// share is what the order among customers depends on, as of the time when the request
+	// came, started to wait or was sent.
+	share fair.Item
+	// period is that in which the current attempt took a slot.
+	period    fair.Period
 	service   string
 	arrivedAt time.Duration
 	// deadline is the latest end of an attempt: the caller's deadline less responseMargin,
--- a/internal/steer/direct/simulation_test.go
+++ b/internal/steer/direct/simulation_test.go
@@ -57,8 +57,10 @@
 	// defaultMaxRequests.
 	MaxRequests int `yaml:"tries"`
 	// Kinds are the kinds of callers. Without any, all have Patience and MaxRequests.
-	Kinds   []callerKind `yaml:"callers"`
-	Seconds int          `yaml:"seconds"`
+	Kinds []callerKind `yaml:"callers"`
+	// Customers are the customers to whom the callers belong; without any there are none.
+	Customers []customerKind `yaml:"customers"`
+	Seconds   int            `yaml:"seconds"`
 	// CountFrom is the second from which callers are counted. Before that the servers get
 	// to know the objects.
 	CountFrom int `yaml:"from-second"`
@@ -81,9 +83,10 @@
 	// LostAt. No server is removed if LostAt is 0.
 	LostShare float64       `yaml:"lost-share"`
 	LostAt    time.Duration `yaml:"lost-at"`
-	// Former names another policy: withoutObjects, toldOfPauses, or "" for no comparison.
-	// It must answer at most 1/MinGain times as many callers in their time, or take at
-	// least MinGain times as long for half of them.
+	// Former names another policy: withoutObjects, toldOfPauses, inOrderOfArrival, or "" for
+	// no comparison. It must answer at most 1/MinGain times as many callers in their time, or
+	// take at least MinGain times as long for half of them. For inOrderOfArrival this holds
+	// for the callers of the customers that are not hot.
 	Former  string  `yaml:"former"`
 	MinGain float64 `yaml:"gain"`
 	// MinAnswered is the share of callers that must be answered in their time, MinInRegion
@@ -97,6 +100,46 @@
 	// MaxInVain bounds the share of the begun work that is not finished in its caller's
 	// time.
 	MaxInVain float64 `yaml:"most-in-vain"`
+	// MinOfCustomer is the share of the callers of each customer that must be answered.
+	// MaxLossToHot bounds what the customers that are not hot lose of theirs, all together,
+	// relative to the same load without a hot customer, and MaxSlowdownByHot the 99th
+	// percentile of their times relative to that load.
+	MinOfCustomer    float64 `yaml:"least-of-customer"`
+	MaxLossToHot     float64 `yaml:"most-lost-to-hot"`
+	MaxSlowdownByHot float64 `yaml:"most-slower-by-hot"`
+}
+
+// customerKind is a kind of customers.
+type customerKind struct {
+	// Count is the number of such customers, and Share the share of the callers that belong
+	// to each of them.
+	Count int     `yaml:"count"`
+	Share float64 `yaml:"share"`
+	// Limit is the limit in requests a second that gives the weight, Level the priority level.
+	Limit float64 `yaml:"limit"`
+	Level int     `yaml:"level"`
+	// From HotAt on, for HotFor, such a customer has HotTimes as many callers.
+	HotAt    time.Duration `yaml:"hot-at"`
+	HotFor   time.Duration `yaml:"hot-for"`
+	HotTimes float64       `yaml:"hot-times"`
+	// OneEntry is true for customers whose callers use only the first entry VM of a region.
+	OneEntry bool `yaml:"one-entry"`
+}
+
+// timesAt returns how many times its usual callers a customer of the kind has at a time.
+func (k customerKind) timesAt(now time.Duration) float64 {
+	if k.HotTimes > 0 && now >= k.HotAt && now < k.HotAt+k.HotFor {
+		return k.HotTimes
+	}
+
+	return 1
+}
+
+// simulatedCustomer is a customer with its kind.
+type simulatedCustomer struct {
+	intent.Customer
+
+	kind customerKind
 }
 
 // callerKind is a kind of callers.
@@ -131,14 +174,21 @@
 	times    []time.Duration
 	byRegion map[int]*count
 	byLevel  map[int]*count
+	// byCustomer holds the counts by the customer's name, others those of all customers that
+	// are never hot.
+	byCustomer map[string]*count
+	others     count
+	otherTimes []time.Duration
 }
 
 // percentile returns a percentile of the times to the answer.
-func (o outcome) percentile(p float64) time.Duration {
-	if len(o.times) == 0 {
+func (o outcome) percentile(p float64) time.Duration { return percentile(o.times, p) }
+
+func percentile(times []time.Duration, p float64) time.Duration {
+	if len(times) == 0 {
 		return 0
 	}
-	sorted := slices.Sorted(slices.Values(o.times))
+	sorted := slices.Sorted(slices.Values(times))
 
 	return sorted[int(p/100*float64(len(sorted)-1))]
 }
@@ -152,6 +202,12 @@
 		}
 		groups.WriteString(" |")
 	}
+	if len(o.byCustomer) > 0 {
+		fmt.Fprintf(&groups, " others %.3f p99 %d ms, by customer:", share(o.others.answered, o.others.callers), percentile(o.otherTimes, 99).Milliseconds())
+		for _, name := range slices.Sorted(maps.Keys(o.byCustomer)) {
+			fmt.Fprintf(&groups, " %.3f", share(o.byCustomer[name].answered, o.byCustomer[name].callers))
+		}
+	}
 
 	return fmt.Sprintf("callers %d answered %.3f refused %.3f failed %.3f p50 %d ms p99 %d ms in-vain %.3f requests %.2f by region, level:%s",
 		o.callers, share(o.answered, o.callers), share(o.refused, o.callers), share(o.failed, o.callers),
@@ -182,9 +238,18 @@
 			require.LessOrEqual(t, got.percentile(50), cmp.Or(sc.MaxMedian, math.MaxInt64))
 			require.LessOrEqual(t, got.percentile(99), cmp.Or(sc.MaxP99, math.MaxInt64))
 			require.LessOrEqual(t, share(got.inVain, got.begun), cmp.Or(sc.MaxInVain, 1))
+			for name, n := range got.byCustomer {
+				require.GreaterOrEqual(t, share(n.answered, n.callers), sc.MinOfCustomer, "customer %s", name)
+			}
+			if sc.MaxSlowdownByHot > 0 {
+				requireUnharmedByHot(t, sc, got)
+			}
 			if sc.Former != "" {
 				former := newSimulation(sc, sc.Former).run()
 				t.Logf("%s with the other policy: %s", filepath.Base(file), former)
+				if sc.Former == inOrderOfArrival {
+					got.count, former.count, got.times, former.times = got.others, former.others, got.otherTimes, former.otherTimes
+				}
 				gain := max(share(got.answered, former.answered), float64(former.percentile(50))/float64(got.percentile(50)))
 				require.GreaterOrEqual(t, gain, sc.MinGain)
 			}
@@ -192,6 +257,22 @@
 	}
 }
 
+// requireUnharmedByHot compares an outcome with that of the same load without a hot customer.
+func requireUnharmedByHot(t *testing.T, sc scenario, got outcome) {
+	t.Helper()
+	share := func(n count) float64 { return float64(n.answered) / float64(n.callers) }
+	usual := sc
+	usual.Customers = slices.Clone(sc.Customers)
+	for i := range usual.Customers {
+		// They stay marked as hot, so that the same customers are compared.
+		usual.Customers[i].HotTimes = min(usual.Customers[i].HotTimes, 1)
+	}
+	without := newSimulation(usual, "").run()
+	t.Logf("without a hot customer: %s", without)
+	require.GreaterOrEqual(t, share(got.others), share(without.others)-sc.MaxLossToHot)
+	require.LessOrEqual(t, float64(percentile(got.otherTimes, 99)), sc.MaxSlowdownByHot*float64(percentile(without.otherTimes, 99)))
+}
+
 func readScenario(t *testing.T, file string) scenario {
 	t.Helper()
 	data, err := os.ReadFile(file)
@@ -212,6 +293,8 @@
 	// toldOfPauses is a policy in which an entry VM tells the others at which server it
 	// pauses, and they pause too.
 	toldOfPauses = "told"
+	// inOrderOfArrival is a policy that does not look at customers.
+	inOrderOfArrival = "arrival"
 )
 
 // scheduledCall is a function to call at a simulated time. Calls at the same time are
@@ -266,6 +349,7 @@
 type caller struct {
 	callerKind
 
+	customer       simulatedCustomer
 	region         int
 	object         string
 	firstRequestAt time.Duration
@@ -287,11 +371,12 @@
 	listedServers []direct.Server
 	backends      map[string]*backend
 	// routes holds the routes by priority level.
-	routes  map[int]intent.Route
-	callers map[direct.RequestID]*caller
-	entryOf map[direct.RequestID]*entry
-	lastID  direct.RequestID
-	outcome outcome
+	routes    map[int]intent.Route
+	customers []simulatedCustomer
+	callers   map[direct.RequestID]*caller
+	entryOf   map[direct.RequestID]*entry
+	lastID    direct.RequestID
+	outcome   outcome
 }
 
 func region(n int) string { return fmt.Sprintf("region-%d", n) }
@@ -301,7 +386,7 @@
 		scenario: sc, formerPolicy: formerPolicy, random: rand.New(rand.NewPCG(1, 2)), backends: map[string]*backend{},
 		callers: map[direct.RequestID]*caller{}, entryOf: map[direct.RequestID]*entry{}, routes: map[int]intent.Route{},
 	}
-	sim.outcome.byRegion, sim.outcome.byLevel = map[int]*count{}, map[int]*count{}
+	sim.outcome.byRegion, sim.outcome.byLevel, sim.outcome.byCustomer = map[int]*count{}, map[int]*count{}, map[string]*count{}
 	var routes []intent.Route
 	for _, kind := range sc.Kinds {
 		route := intent.Route{
@@ -321,6 +406,17 @@
 	}
 	sim.listedServers = servers
 	in := intent.New(1, routes, map[string]intent.Service{"s": {Name: "s"}}, intent.Limits{})
+	byName := map[string]intent.Customer{}
+	for k, kind := range sc.Customers {
+		for i := range kind.Count {
+			c := intent.Customer{Name: fmt.Sprintf("c%d-%02d", k, i), PriorityLevel: kind.Level, Limit: intent.RateLimit{PerSecond: kind.Limit}}
+			byName[c.Name] = c
+			sim.customers = append(sim.customers, simulatedCustomer{c, kind})
+		}
+	}
+	if formerPolicy != inOrderOfArrival {
+		in = in.WithCustomers(byName, nil)
+	}
 	var names []string
 	for r := range sc.Regions {
 		for i := range sc.Entries {
@@ -377,6 +473,9 @@
 	if sim.now >= sim.BurstAt && sim.now < sim.BurstAt+sim.BurstFor {
 		rate *= sim.BurstTimes
 	}
+	for _, c := range sim.customers {
+		rate += sim.Rate * c.kind.Share * (c.kind.timesAt(sim.now) - 1)
+	}
 	gap := time.Duration(sim.random.ExpFloat64() / rate * float64(time.Second))
 	if sim.now+gap >= end {
 		return
@@ -384,7 +483,7 @@
 	sim.after(gap, func() {
 		c := &caller{
 			callerKind: sim.drawKind(), region: r, object: fmt.Sprintf("%d-%d", r, sim.random.IntN(sim.Objects)), firstRequestAt: sim.now,
-			counted: sim.now >= time.Duration(sim.CountFrom)*time.Second,
+			counted: sim.now >= time.Duration(sim.CountFrom)*time.Second, customer: sim.drawCustomer(),
 		}
 		if c.counted {
 			for _, n := range sim.countsOf(c) {
@@ -409,17 +508,44 @@
 	return sim.Kinds[len(sim.Kinds)-1]
 }
 
+// drawCustomer draws the customer of a caller, which has no name if there are none.
+func (sim *simulation) drawCustomer() simulatedCustomer {
+	total := 0.0
+	for _, c := range sim.customers {
+		total += c.kind.Share * c.kind.timesAt(sim.now)
+	}
+	if total == 0 {
+		return simulatedCustomer{}
+	}
+	point := sim.random.Float64() * total
+	for _, c := range sim.customers {
+		if point -= c.kind.Share * c.kind.timesAt(sim.now); point < 0 {
+			return c
+		}
+	}
+
+	return sim.customers[len(sim.customers)-1]
+}
+
 // countsOf returns the counts to which a caller belongs.
 func (sim *simulation) countsOf(c *caller) []*count {
-	group := func(m map[int]*count, key int) *count {
-		if m[key] == nil {
-			m[key] = &count{}
+	counts := []*count{&sim.outcome.count, group(sim.outcome.byRegion, c.region), group(sim.outcome.byLevel, c.Level)}
+	if c.customer.Name != "" {
+		counts = append(counts, group(sim.outcome.byCustomer, c.customer.Name))
+		if c.customer.kind.HotTimes == 0 {
+			counts = append(counts, &sim.outcome.others)
 		}
+	}
 
-		return m[key]
+	return counts
+}
+
+func group[K comparable](m map[K]*count, key K) *count {
+	if m[key] == nil {
+		m[key] = &count{}
 	}
 
-	return []*count{&sim.outcome.count, group(sim.outcome.byRegion, c.region), group(sim.outcome.byLevel, c.Level)}
+	return m[key]
 }
 
 // scheduleTicks schedules the ticks of an entry VM and its reports to the others until
@@ -481,12 +607,26 @@
 func (sim *simulation) sendRequest(c *caller) {
 	c.requests++
 	e := sim.entries[c.region*sim.Entries+sim.random.IntN(sim.Entries)]
+	if c.customer.kind.OneEntry {
+		e = sim.entries[c.region*sim.Entries]
+	}
 	sim.lastID++
 	id := sim.lastID
 	sim.callers[id], sim.entryOf[id] = c, e
 	sim.add(c.counted, &sim.outcome.requests)
 	left := c.Patience - (sim.now - c.firstRequestAt)
-	sim.apply(e, direct.RequestArrived{At: direct.At(sim.now), ID: id, Route: sim.routes[c.Level], Object: c.object, Deadline: sim.now + left})
+	sim.apply(e, direct.RequestArrived{
+		At: direct.At(sim.now), ID: id, Route: sim.routes[c.Level], Customer: sim.customerOf(c), Object: c.object, Deadline: sim.now + left,
+	})
+}
+
+// customerOf returns the customer that the request of a caller carries.
+func (sim *simulation) customerOf(c *caller) intent.Customer {
+	if sim.formerPolicy == inOrderOfArrival {
+		return intent.Customer{}
+	}
+
+	return c.customer.Customer
 }
 
 func (sim *simulation) apply(e *entry, ev direct.Event) {
@@ -633,6 +773,9 @@
 		sim.outcome.failed++
 	default:
 		sim.outcome.times = append(sim.outcome.times, took)
+		if c.customer.kind.HotTimes == 0 {
+			sim.outcome.otherTimes = append(sim.outcome.otherTimes, took)
+		}
 		for _, n := range sim.countsOf(c) {
 			n.answered++
 		}
--- a/internal/steer/direct/status.go
+++ b/internal/steer/direct/status.go
@@ -22,6 +22,10 @@
 	// has been waiting at most.
 	WaitingRequests int
 	LongestWait     time.Duration
+	// WaitingCustomers is the number of customers that have queued requests. ExcessCustomers
+	// are those that ask for several times their share, in the order of their names.
+	WaitingCustomers int
+	ExcessCustomers  []string
 	// RegionShares holds the share of the own region's requests that each region serves.
 	RegionShares map[string]float64
 }
@@ -55,6 +59,7 @@
 			for _, r := range q.waiting {
 				status.LongestWait = max(status.LongestWait, s.now-r.arrivedAt)
 			}
+			status.WaitingCustomers, status.ExcessCustomers = q.customerStatus()
 		}
 		if d, ok := s.divisions[name]; ok {
 			status.RegionShares = d.shares
--- a/internal/steer/direct/tick.go
+++ b/internal/steer/direct/tick.go
@@ -151,6 +151,7 @@
 		slots, demands := s.slotsByRegion(service), s.demandByRegion(service, d)
 		s.demandRatios[service] = demandRatio(demands, slots)
 		s.ownShares[service] = s.ownShare(service)
+		s.queue(service).updateDemands(elapsed, s.demandRatios[service])
 		s.slotPrices[service] = slotPrice(s.demandRatios[service], slots)
 		div := getOrCreate(s.divisions, service, func() *division { return &division{} })
 		if demands[s.settings.Region] <= 0 || div.shares == nil {
--- a/internal/steer/direct/wait.go
+++ b/internal/steer/direct/wait.go
@@ -30,10 +30,7 @@
 		return srv.awaited
 	}
 	n := 0
-	for _, other := range s.queue(r.service).waiting {
-		if compareRequests(other, r) >= 0 {
-			break
-		}
+	for _, other := range s.queue(r.service).before(r) {
 		if other.awaited == srv {
 			n++
 		}
@@ -65,11 +62,12 @@
 }
 
 // isStanding reports whether the queue of a request's service has not been empty for longer
-// than the request could wait when it arrived.
+// than the request could wait when it arrived. If customers share the slots, the queue
+// stands only for those in excess: the others do not keep it from emptying.
 func (s *state) isStanding(r *request) bool {
 	q := s.queue(r.service)
 
-	return len(q.waiting) > 0 && s.now-q.busySince > r.deadline-r.arrivedAt-r.answerTime
+	return len(q.waiting) > 0 && s.now-q.busySince > r.deadline-r.arrivedAt-r.answerTime && q.isExcessive(r)
 }
 
 // dispatchQueued sends each queued request of a service that a server takes now, and gives
@@ -92,7 +90,7 @@
 	if !ok {
 		return
 	}
-	waiting := slices.Clone(q.waiting)
+	waiting := slices.Clone(q.inOrder())
 	for _, r := range waiting {
 		if isDue(r) {
 			c := s.choose(r)
