Do not pause at servers that refuse requests with slots free

Cause: a refusal counted as a sign of a full server, and the entry VM paused there for the time of a slot turn.

Change: the load in the refusal decides. With free slots there is no pause; after six refusals in a row without an answer the server is avoided with a backoff. The log of a failed attempt shows the load that the server told.

--- a/internal/run/direct/serve.go
+++ b/internal/run/direct/serve.go
@@ -201,8 +201,14 @@
 		r.lastResponse = &result.Response
 	}
 	if result.Outcome != http1.Answered || result.Response.Status >= http.StatusInternalServerError {
-		r.log.Info("attempt failed", r.fields(zap.String("address", send.Server.Address), zap.Stringer("outcome", result.Outcome),
-			zap.Int("status", result.Response.Status), zap.Bool("timed-out", result.TimedOut), zap.Error(result.Err))...)
+		fields := []zap.Field{
+			zap.String("address", send.Server.Address), zap.Stringer("outcome", result.Outcome),
+			zap.Int("status", result.Response.Status), zap.Bool("timed-out", result.TimedOut), zap.Error(result.Err),
+		}
+		if load, ok := result.Load.Get(); ok {
+			fields = append(fields, zap.Int("running", load.RunningRequests), zap.Int("waiting", load.WaitingRequests), zap.Int("slots", load.Slots))
+		}
+		r.log.Info("attempt failed", r.fields(fields...)...)
 	}
 	r.apply(attemptEnded(r.eventTime(), r.id, result))
 	// The body of a streamed response is read under ctx, which ends when attempt returns.
--- a/internal/steer/direct/attempt.go
+++ b/internal/steer/direct/attempt.go
@@ -119,6 +119,8 @@
 	case e.OtherInstance:
 		srv.Leaving = true
 		s.emit(LogServerState{Server: srv.ID, State: "gone", Cause: "another server has its address"})
+	case e.Outcome == NotRun && e.showsFreeSlots(srv):
+		srv.recordRefusal(s.now)
 	case e.Outcome == NotRun:
 		// By then the server has probably completed one of its requests.
 		pause := time.Duration(srv.slowdown(s.now) * float64(s.residenceTime(r)) / float64(max(srv.Slots, 1)))
@@ -142,6 +144,13 @@
 	}
 }
 
+// showsFreeSlots reports whether the server said in the response that it has free slots.
+func (e AttemptEnded) showsFreeSlots(srv *server) bool {
+	load, ok := e.Load.Get()
+
+	return ok && load.RunningRequests < srv.Slots && load.WaitingRequests == 0
+}
+
 // recordProcessingTime compares the time of a response with the typical time of its
 // route and rank. Then it updates the typical time.
 func (s *state) recordProcessingTime(r *request, srv *server) {
--- a/internal/steer/direct/server.go
+++ b/internal/steer/direct/server.go
@@ -39,6 +39,10 @@
 	// and is avoided. Below minFailureSamples attempts the share is not considered.
 	maxFailureShare   = 0.3
 	minFailureSamples = 5
+	// maxRefusalsInRow is how often in a row a server with free slots may refuse requests
+	// until it is avoided like one that fails. A server that refuses every other request
+	// seldom does so.
+	maxRefusalsInRow = 6
 	// failureAlpha is the weight of one attempt in a server's share of failures.
 	failureAlpha = 0.15
 )
@@ -89,6 +93,9 @@
 	// with consecutiveFailures.
 	avoidUntil          time.Duration
 	consecutiveFailures int
+	// refusalsInRow counts the requests that the server has refused since its last answer
+	// although it had free slots.
+	refusalsInRow int
 	// needsProbe is true for a server that gets no request until a probe finds it
 	// healthy.
 	needsProbe bool
@@ -175,10 +182,20 @@
 
 // recordSuccess records a response without a server error.
 func (srv *server) recordSuccess() {
-	srv.consecutiveFailures = 0
+	srv.consecutiveFailures, srv.refusalsInRow = 0, 0
 	srv.failureShare = srv.failureShare.With(0, failureAlpha)
 }
 
+// recordRefusal records that the server refused a request although it had free slots. It is
+// not full, and takes the next request as likely as this one, so it is avoided only if it
+// seems to take none.
+func (srv *server) recordRefusal(now time.Duration) {
+	if srv.refusalsInRow++; srv.refusalsInRow >= maxRefusalsInRow {
+		backoff := min(minBackoff<<min(srv.refusalsInRow-maxRefusalsInRow, 8), maxBackoff)
+		srv.avoidUntil = max(srv.avoidUntil, now+backoff)
+	}
+}
+
 // failsOften reports whether the share of failed attempts is too high.
 func (srv *server) failsOften() bool {
 	return srv.failureShare.Count() >= minFailureSamples && srv.failureShare.Value() > maxFailureShare
--- a/internal/steer/direct/simulation_test.go
+++ b/internal/steer/direct/simulation_test.go
@@ -76,6 +76,9 @@
 	MeanNoisePeriod time.Duration `yaml:"noise-every"`
 	// ShedShare is the share of the requests that servers refuse although they have room.
 	ShedShare float64 `yaml:"shed-share"`
+	// SheddingServers is the share of the servers that do so, rounded up to tenths; 0 means
+	// all.
+	SheddingServers float64 `yaml:"shedding-servers"`
 	// Pause is how long servers that refuse a request want no more from that entry VM; 0
 	// means that they do not say.
 	Pause time.Duration `yaml:"pause"`
@@ -328,6 +331,8 @@
 
 // backend is a simulated backend server.
 type backend struct {
+	// number counts the servers of all regions.
+	number  int
 	region  int
 	running int
 	// slowdown is the processing time now, relative to the usual one.
@@ -400,7 +405,7 @@
 	for r, n := range sc.Servers {
 		for i := range n {
 			id := fmt.Sprintf("server-%d-%d", r, i)
-			sim.backends[id] = &backend{region: r, slowdown: 1}
+			sim.backends[id] = &backend{number: len(servers), region: r, slowdown: 1}
 			servers = append(servers, direct.Server{ID: id, Address: id, Service: "s", Zone: region(r), Region: region(r), Slots: sc.Slots})
 		}
 	}
@@ -664,7 +669,7 @@
 // server sheds it.
 func (sim *simulation) runRequest(e *entry, f direct.Send, rtt time.Duration) {
 	b := sim.backends[f.Server.ID]
-	if sim.random.Float64() < sim.ShedShare {
+	if (sim.SheddingServers == 0 || b.number%10 < int(math.Ceil(10*sim.SheddingServers))) && sim.random.Float64() < sim.ShedShare {
 		sim.endAttempt(e, f, rtt/2, direct.NotRun, false)
 		if sim.formerPolicy == toldOfPauses {
 			sim.tellOfPause(e, f.Server.ID)
