Let entry VMs take turns with free slots of servers that are full

Change: once a tenth of the attempts for a service is refused by full servers, an entry VM uses as many slots of a server as the others know it to use, and takes more in turns of 200 ms, ranked by a hash over the entry VMs at which requests wait. Refusals of a server that also refuses with slots free do not count. The status of a service shows the share of refusals by full servers and whether turns are taken.

The simulation told the load of a server as of when the response arrives; now it is that of when it is sent.

--- a/internal/run/direct/entryvm.go
+++ b/internal/run/direct/entryvm.go
@@ -268,7 +268,8 @@
 			p.log.Info("service status", zap.String("service", s.Service), zap.Float64("use", s.DemandRatio), zap.Duration("longest-wait", s.LongestWait),
 				zap.Int("servers", s.ServerCount), zap.Int("usable", s.UsableServers), zap.Int("cold", s.ColdServers),
 				zap.Float64("occupied", s.Occupied), zap.Int("slots", s.Slots), zap.Int("waiting", s.WaitingRequests),
-				zap.Int("waiting-customers", s.WaitingCustomers), zap.Strings("excess", s.ExcessCustomers), zap.Any("parts", s.RegionShares))
+				zap.Int("waiting-customers", s.WaitingCustomers), zap.Strings("excess", s.ExcessCustomers),
+				zap.Float64("refused-full", s.FullRefusals), zap.Bool("turns", s.TakesTurns), zap.Any("parts", s.RegionShares))
 		}
 		for _, r := range routes {
 			p.log.Info("route status", zap.String("route", r.Route), zap.Duration("first", r.FirstRankTime), zap.Duration("second", r.SecondRankTime),
--- a/internal/steer/direct/attempt.go
+++ b/internal/steer/direct/attempt.go
@@ -108,6 +108,7 @@
 	if load, ok := e.Load.Get(); ok {
 		srv.reportedSlowdown, srv.slowdownReportedAt = load.Slowdown, s.now
 	}
+	s.countRefusal(srv, e)
 	s.extendCold(srv, e.ColdFor)
 	s.recordNotice(srv, e.Leaving, e.PauseFor)
 	if e.Outcome == Unknown && !e.TimedOut {
--- a/internal/steer/direct/choose.go
+++ b/internal/steer/direct/choose.go
@@ -229,7 +229,7 @@
 
 // hasRoom reports whether a server takes another request now.
 func (s *state) hasRoom(srv *server) bool {
-	return !srv.isFull() && srv.inFlight < s.maxConnections(srv.Service)
+	return !srv.isFull() && (!s.takesTurns || s.mayTakeSlot(srv)) && srv.inFlight < s.maxConnections(srv.Service)
 }
 
 // slotPrice returns how long other requests wait in all for each second that a request
--- a/internal/steer/direct/direct.go
+++ b/internal/steer/direct/direct.go
@@ -131,6 +131,14 @@
 	// leavingElsewhere holds when another entry VM last reported an incarnation as leaving.
 	leavingElsewhere map[Incarnation]time.Duration
 	spillover        spillover
+	// refusals are those of the servers by service.
+	// takesTurns is true while entry VMs take turns with the free slots of some service.
+	refusals   map[string]*refusals
+	takesTurns bool
+	// contenders holds the Keys of the entry VMs at which requests wait for a slot, by
+	// service; nil if it must be worked out again. ownKey is that of this entry VM.
+	contenders map[string][]uint32
+	ownKey     uint32
 	// lastPoint advances by goldenRatioFraction, modulo 1, with each request. It is the
 	// divisionPoint of requests without an object and of requests of routes that are not
 	// sticky.
@@ -150,6 +158,7 @@
 // New returns the state of an entry VM without configuration, servers and peers.
 func New(settings Settings) State {
 	return State{&state{
+		ownKey:         Key(settings.Name),
 		settings:       settings,
 		random:         rand.New(rand.NewPCG(settings.Seed, settings.Seed^0x9e3779b97f4a7c15)), //nolint:gosec // Steering needs no secret numbers.
 		servers:        map[string]*server{},
@@ -160,6 +169,7 @@
 		peers:          map[string]peerReport{},
 		requests:       map[RequestID]*request{},
 		queues:         map[string]*queue{},
+		refusals:       map[string]*refusals{},
 		retryBudgets:   map[string]*retryBudget{},
 		demands:        map[string]*demand{},
 		divisions:      map[string]*division{},
--- a/internal/steer/direct/event.go
+++ b/internal/steer/direct/event.go
@@ -94,7 +94,10 @@
 	// Demand is the number of slots that the requests of the entry VM's callers need, by
 	// service.
 	Demand map[string]float64
-	Region string
+	// Waiting holds the Keys of the names of the entry VMs at which requests wait for a slot,
+	// by service.
+	Waiting map[string][]uint32
+	Region  string
 }
 
 // Event is an input of Reduce. All times in events and effects are counted from the
--- a/internal/steer/direct/limits_test.go
+++ b/internal/steer/direct/limits_test.go
@@ -86,6 +86,46 @@
 	})
 }
 
+// Guards against a free slot that no entry VM, or more than one, takes in a turn.
+func TestEachFreeSlotHasOneTurn(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		contenders := rapid.SliceOfNDistinct(rapid.Uint32(), 1, 30, rapid.ID[uint32]).Draw(t, "contenders")
+		turn, server := rapid.Uint64().Draw(t, "turn"), rapid.Uint64().Draw(t, "server")
+		ranks := map[int]int{}
+		for _, own := range contenders {
+			ranks[rankInTurn(turn, server, own, contenders)]++
+		}
+		require.Len(t, ranks, len(contenders))
+	})
+}
+
+// Guards against turns that are taken, at the cost of free slots, because servers refuse
+// requests for other reasons than their load, and against turns that end as soon as they work.
+func TestTurnsFollowFullServers(t *testing.T) {
+	t.Parallel()
+	f := refusals{}
+	for range 200 {
+		f.count(0, 1)
+		f.count(1, 0)
+		f.count(0, 0)
+	}
+	require.False(t, f.takeTurns)
+	for range 200 {
+		f.count(1, 0)
+		f.count(0, 0)
+	}
+	require.True(t, f.takeTurns)
+	for range 100 {
+		f.count(0, 0)
+	}
+	require.True(t, f.takeTurns)
+	for range 300 {
+		f.count(0, 0)
+	}
+	require.False(t, f.takeTurns)
+}
+
 // within counts the times in the window that ends at end, with end itself included.
 func within(times []time.Duration, end, window time.Duration) int {
 	n := 0
--- a/internal/steer/direct/report.go
+++ b/internal/steer/direct/report.go
@@ -29,13 +29,19 @@
 	for service, d := range s.demands {
 		r.Demand[service] = d.slots.Value()
 	}
+	r.Waiting = map[string][]uint32{}
+	for service, q := range s.queues {
+		if len(q.waiting) > 0 {
+			r.Waiting[service] = []uint32{Key(s.settings.Name)}
+		}
+	}
 
 	return r
 }
 
 // SumReports returns the sum of the reports of a region's entry VMs.
 func SumReports(region string, reports []Report) Report {
-	sum := Report{InFlight: map[uint32]int{}, Suspects: map[uint64][]Incarnation{}, Demand: map[string]float64{}, Region: region}
+	sum := Report{InFlight: map[uint32]int{}, Suspects: map[uint64][]Incarnation{}, Demand: map[string]float64{}, Waiting: map[string][]uint32{}, Region: region}
 	for _, report := range reports {
 		for key, n := range report.InFlight {
 			sum.InFlight[key] += n
@@ -43,6 +49,9 @@
 		sum.Lost = append(sum.Lost, report.Lost...)
 		sum.Leaving = append(sum.Leaving, report.Leaving...)
 		mergeLosses(sum.Suspects, report.Suspects)
+		for service, keys := range report.Waiting {
+			sum.Waiting[service] = append(sum.Waiting[service], keys...)
+		}
 		for service, slots := range report.Demand {
 			sum.Demand[service] += slots
 		}
--- a/internal/steer/direct/server.go
+++ b/internal/steer/direct/server.go
@@ -82,28 +82,26 @@
 	unlistedAt  time.Duration
 	// saidLeaving is true once the server has said in a response that it is leaving.
 	// reportLeavingUntil is the time until which that is reported to the other entry VMs.
-	saidLeaving        bool
 	reportLeavingUntil time.Duration
+	saidLeaving        bool
 	// pausedUntil is the time before which the server gets no request and no probe, because
 	// it asked for that. needsTrial is true from then until the server has answered a
 	// request; meanwhile it gets one request at a time.
 	pausedUntil time.Duration
 	needsTrial  bool
+	// needsProbe is true for a server that gets no request until a probe finds it
+	// healthy.
+	needsProbe bool
+	// probing is true during a probe.
+	probing bool
 	// avoidUntil is the time before which the server gets no request. The backoff grows
 	// with consecutiveFailures.
 	avoidUntil          time.Duration
 	consecutiveFailures int
-	// refusalsInRow counts the requests that the server has refused since its last answer
-	// although it had free slots.
-	refusalsInRow int
-	// needsProbe is true for a server that gets no request until a probe finds it
-	// healthy.
-	needsProbe bool
 	// reportLostUntil is the time until which the server is reported as lost to the other
 	// entry VMs.
 	reportLostUntil time.Duration
-	// probing is true during a probe. nextProbeAt is the earliest time of the next probe.
-	probing     bool
+	// nextProbeAt is the earliest time of the next probe.
 	nextProbeAt time.Duration
 	// coldUntil is when the server becomes warm. Until then, nextColdSendAt is the
 	// earliest time at which this entry VM may send the server another request.
@@ -114,12 +112,17 @@
 	// computed.
 	coldRate        float64
 	coldRateVersion uint64
+	// refusalsInRow counts the requests that the server has refused since its last answer
+	// although it had free slots.
+	refusalsInRow int
+	// turns is apart, so that a server stays small: many are looked at for each request.
+	turns *turns
 }
 
 func newServer(now time.Duration, srv Server) *server {
 	return &server{
 		Server: srv, key: Key(srv.ID), hash: xxhash.Sum64String(srv.ID), incarnation: incarnationOf(srv),
-		reportedSlowdown: 1, coldUntil: now + srv.ColdFor,
+		reportedSlowdown: 1, coldUntil: now + srv.ColdFor, turns: &turns{},
 	}
 }
 
--- a/internal/steer/direct/simulation_test.go
+++ b/internal/steer/direct/simulation_test.go
@@ -79,6 +79,12 @@
 	// SheddingServers is the share of the servers that do so, rounded up to tenths; 0 means
 	// all.
 	SheddingServers float64 `yaml:"shedding-servers"`
+	// Room is the number of requests that a server lets wait at most; it refuses others. 0
+	// means any number.
+	Room int `yaml:"room"`
+	// ReportAge is how old the reports of other entry VMs are when they arrive, besides the
+	// network time: at random between a sixth of it and all.
+	ReportAge time.Duration `yaml:"report-age"`
 	// Pause is how long servers that refuse a request want no more from that entry VM; 0
 	// means that they do not say.
 	Pause time.Duration `yaml:"pause"`
@@ -103,6 +109,8 @@
 	// MaxInVain bounds the share of the begun work that is not finished in its caller's
 	// time.
 	MaxInVain float64 `yaml:"most-in-vain"`
+	// MaxTurnedAway bounds the share of the arrivals at servers that do not fit there.
+	MaxTurnedAway float64 `yaml:"most-turned-away"`
 	// MinOfCustomer is the share of the callers of each customer that must be answered.
 	// MaxLossToHot bounds what the customers that are not hot lose of theirs, all together,
 	// relative to the same load without a hot customer, and MaxSlowdownByHot the 99th
@@ -173,6 +181,9 @@
 	// requests counts all requests of the callers. begun counts the requests at which a
 	// server began to work, inVain those of them that it did not finish in time.
 	requests, begun, inVain int
+	// arrivals counts the requests that reached a server, turnedAway those of them for which
+	// it had no room.
+	arrivals, turnedAway int
 	// times are the times from the first request to the answer.
 	times    []time.Duration
 	byRegion map[int]*count
@@ -212,9 +223,9 @@
 		}
 	}
 
-	return fmt.Sprintf("callers %d answered %.3f refused %.3f failed %.3f p50 %d ms p99 %d ms in-vain %.3f requests %.2f by region, level:%s",
+	return fmt.Sprintf("callers %d answered %.3f refused %.3f failed %.3f p50 %d ms p99 %d ms in-vain %.3f turned-away %.3f requests %.2f by region, level:%s",
 		o.callers, share(o.answered, o.callers), share(o.refused, o.callers), share(o.failed, o.callers),
-		o.percentile(50).Milliseconds(), o.percentile(99).Milliseconds(), share(o.inVain, o.begun), share(o.requests, o.callers), groups.String())
+		o.percentile(50).Milliseconds(), o.percentile(99).Milliseconds(), share(o.inVain, o.begun), share(o.turnedAway, o.arrivals), share(o.requests, o.callers), groups.String())
 }
 
 // TestSimulatedLoads runs each scenario of testdata/play. It guards against decisions that
@@ -241,6 +252,7 @@
 			require.LessOrEqual(t, got.percentile(50), cmp.Or(sc.MaxMedian, math.MaxInt64))
 			require.LessOrEqual(t, got.percentile(99), cmp.Or(sc.MaxP99, math.MaxInt64))
 			require.LessOrEqual(t, share(got.inVain, got.begun), cmp.Or(sc.MaxInVain, 1))
+			require.LessOrEqual(t, share(got.turnedAway, got.arrivals), cmp.Or(sc.MaxTurnedAway, 1))
 			for name, n := range got.byCustomer {
 				require.GreaterOrEqual(t, share(n.answered, n.callers), sc.MinOfCustomer, "customer %s", name)
 			}
@@ -562,7 +574,11 @@
 		report := e.state.Report()
 		for _, other := range sim.entries {
 			if other != e {
-				sim.after(sim.roundTrip(e.region, other.region)/2, func() {
+				age := time.Duration(0)
+				if sim.ReportAge > 0 {
+					age = sim.ReportAge/6 + time.Duration(sim.random.Float64()*5/6*float64(sim.ReportAge))
+				}
+				sim.after(age+sim.roundTrip(e.region, other.region)/2, func() {
 					sim.apply(other, direct.PeerReported{At: direct.At(sim.now), Peer: fmt.Sprint(i), Report: report})
 				})
 			}
@@ -696,12 +712,20 @@
 		}
 		sim.after(took, func() { sim.endAttempt(e, f, rtt/2, direct.Answered, false); sim.freeSlot(b) })
 	}
+	counted := sim.callers[f.ID].counted
+	sim.add(counted, &sim.outcome.arrivals)
 	if b.running < sim.Slots {
 		b.running++
 		start()
 
 		return
 	}
+	if sim.Room > 0 && len(b.waiting) >= sim.Room {
+		sim.add(counted, &sim.outcome.turnedAway)
+		sim.endAttempt(e, f, rtt/2, direct.NotRun, false)
+
+		return
+	}
 	b.waiting = append(b.waiting, start)
 }
 
@@ -754,8 +778,10 @@
 
 // endAttempt tells entry VM e, networkTime from now, that its attempt has ended.
 func (sim *simulation) endAttempt(e *entry, f direct.Send, networkTime time.Duration, o direct.Outcome, timedOut bool) {
+	b := sim.backends[f.Server.ID]
+	load := direct.Load{RunningRequests: b.running, WaitingRequests: len(b.waiting)}
 	sim.after(networkTime, func() {
-		b := sim.backends[f.Server.ID]
+		load.Slowdown = b.slowdown
 		var pause option.Option[time.Duration]
 		if o == direct.NotRun && sim.Pause > 0 {
 			pause = option.Some(sim.Pause)
@@ -763,7 +789,7 @@
 		sim.apply(e, direct.AttemptEnded{
 			PauseFor: pause,
 			At:       direct.At(sim.now), ID: f.ID, Outcome: o, Status: 200, TimedOut: timedOut, DialTook: sim.roundTrip(e.region, b.region),
-			Load: option.Some(direct.Load{RunningRequests: b.running, WaitingRequests: len(b.waiting), Slowdown: b.slowdown}),
+			Load: option.Some(load),
 		})
 	})
 }
--- a/internal/steer/direct/status.go
+++ b/internal/steer/direct/status.go
@@ -26,6 +26,10 @@
 	// are those that ask for several times their share, in the order of their names.
 	WaitingCustomers int
 	ExcessCustomers  []string
+	// FullRefusals is the share of attempts that servers refused because they were full.
+	// TakesTurns is true while the entry VM takes only its turns of free slots.
+	FullRefusals float64
+	TakesTurns   bool
 	// RegionShares holds the share of the own region's requests that each region serves.
 	RegionShares map[string]float64
 }
@@ -61,6 +65,9 @@
 			}
 			status.WaitingCustomers, status.ExcessCustomers = q.customerStatus()
 		}
+		if f, ok := s.refusals[name]; ok {
+			status.FullRefusals, status.TakesTurns = f.full.Value(), f.takeTurns
+		}
 		if d, ok := s.divisions[name]; ok {
 			status.RegionShares = d.shares
 		}
--- a/internal/steer/direct/tick.go
+++ b/internal/steer/direct/tick.go
@@ -41,6 +41,7 @@
 			srv.Leaving = leaving
 			srv.coldUntil = max(srv.coldUntil, s.now+listed.ColdFor)
 		}
+		srv.turns.refusals = getOrCreate(s.refusals, listed.Service, func() *refusals { return &refusals{} })
 		delete(s.unlisted, srv.incarnation)
 		byID[listed.ID] = srv
 		s.byKey[srv.key] = srv
@@ -87,6 +88,7 @@
 			srv.coldUntil = max(srv.coldUntil, s.now+s.intent.Services[srv.Service].Warmup)
 		}
 	}
+	s.contenders = nil
 	s.peers[e.Peer] = peerReport{Report: e.Report, receivedAt: s.now}
 	s.addPeerPortions(e.Report, 1)
 	for _, service := range sortedKeys(s.queues) {
@@ -123,6 +125,7 @@
 		if s.now-p.receivedAt > reportTTL {
 			s.addPeerPortions(p.Report, -1)
 			delete(s.peers, name)
+			s.contenders = nil
 		}
 	}
 	elapsed := s.now - s.lastTick
@@ -137,6 +140,7 @@
 	for _, service := range sortedKeys(s.queues) {
 		s.dispatchQueued(service)
 	}
+	s.tellOwnPortions()
 }
 
 // updateDivisions updates the mean demand for each service, its demand ratio and the
