--- a/internal/steer/direct/direct.go
+++ b/internal/steer/direct/direct.go
@@ -119,6 +119,9 @@
 	// ownShares holds the share of the slots in use of a service that the requests of this
 	// entry VM hold.
 	ownShares map[string]float64
+	// meanLimit is the mean of the customers' limits in requests per second, 0 if there is
+	// no limit.
+	meanLimit float64
 	// roundTrips holds the shortest time that it took to open a connection, by region.
 	roundTrips map[string]time.Duration
 	suspects   suspects
@@ -128,6 +131,14 @@
 	// leavingElsewhere holds when another entry VM last reported an incarnation as leaving.
 	leavingElsewhere map[Incarnation]time.Duration
 	spillover        spillover
+	// refusals are those of the servers by service.
+	// takesTurns is true while entry VMs take turns with the free slots of some service.
+	refusals   map[string]*refusals
+	takesTurns bool
+	// contenders holds the Keys of the entry VMs at which requests wait for a slot, by
+	// service; nil if it must be worked out again. ownKey is that of this entry VM.
+	contenders map[string][]uint32
+	ownKey     uint32
 	// lastPoint advances by goldenRatioFraction, modulo 1, with each request. It is the
 	// divisionPoint of requests without an object and of requests of routes that are not
 	// sticky.
@@ -147,6 +158,7 @@
 // New returns the state of an entry VM without configuration, servers and peers.
 func New(settings Settings) State {
 	return State{&state{
+		ownKey:         Key(settings.Name),
 		settings:       settings,
 		random:         rand.New(rand.NewPCG(settings.Seed, settings.Seed^0x9e3779b97f4a7c15)), //nolint:gosec // Steering needs no secret numbers.
 		servers:        map[string]*server{},
@@ -157,6 +169,7 @@
 		peers:          map[string]peerReport{},
 		requests:       map[RequestID]*request{},
 		queues:         map[string]*queue{},
+		refusals:       map[string]*refusals{},
 		retryBudgets:   map[string]*retryBudget{},
 		demands:        map[string]*demand{},
 		divisions:      map[string]*division{},
@@ -195,6 +208,7 @@
 	case IntentChanged:
 		if s.intent == nil || e.Intent.Version > s.intent.Version {
 			s.intent = e.Intent
+			s.customersChanged()
 			s.coldRateInputsVersion++
 		}
 	case ServersChanged:
@@ -248,6 +262,7 @@
 
 		return
 	}
+	r.share = s.shareOf(r)
 	if s.suspects.refuses(s.now, r.fingerprint) {
 		s.refuse(r, ReasonCrashesServers)
 
@@ -255,6 +270,7 @@
 	}
 	s.retryBudget(r.service).countFirstAttempt(s.now)
 	s.demand(r.service).requestedSlotTime += s.residenceTime(r)
+	s.queue(r.service).countRequest(r)
 	s.admit(r)
 }
 
@@ -309,7 +325,7 @@
 	case c.server != nil:
 		s.send(r, c.server)
 	default:
-		r.awaited = c.awaited
+		r.awaited, r.share = c.awaited, s.shareOf(r)
 		s.queue(r.service).push(s.now, r)
 		s.emit(Hold{ID: r.id, Until: r.deadline - r.answerTime})
 	}
@@ -365,6 +381,8 @@
 	srv.inFlight++
 	srv.ownPortions += r.portions
 	s.heldPortions[r.service] += r.portions
+	r.share = s.shareOf(r)
+	s.queue(r.service).begin(r)
 	s.typicalTimes(r).lastSentAt = s.now
 	s.spillover.count(s.now, r.assignedRegion != "" && srv.Region != r.assignedRegion)
 	r.currentServer, r.sentAt = srv, s.now
@@ -407,7 +425,7 @@
 	if !ok {
 		return
 	}
-	s.release(r)
+	s.release(r, true)
 	s.forget(r)
 	s.dispatchFreed(r.service)
 }
@@ -425,18 +443,19 @@
 }
 
 // release ends the attempt in flight, if any, and subtracts it from the server's
-// counts.
-func (s *state) release(r *request) {
+// counts. served is true if the server may have worked for the request.
+func (s *state) release(r *request, served bool) {
 	if r.currentServer != nil {
 		r.currentServer.inFlight--
 		r.currentServer.ownPortions -= r.portions
 		s.heldPortions[r.service] -= r.portions
+		s.queue(r.service).end(r, served)
 		r.currentServer = nil
 	}
 }
 
 func (s *state) queue(service string) *queue {
-	return getOrCreate(s.queues, service, func() *queue { return &queue{} })
+	return getOrCreate(s.queues, service, func() *queue { return newQueue(s.hasCustomers()) })
 }
 
 func (s *state) demand(service string) *demand {
--- a/internal/steer/direct/server.go
+++ b/internal/steer/direct/server.go
@@ -39,6 +39,10 @@
 	// and is avoided. Below minFailureSamples attempts the share is not considered.
 	maxFailureShare   = 0.3
 	minFailureSamples = 5
+	// maxRefusalsInRow is how often in a row a server with free slots may refuse requests
+	// until it is avoided like one that fails. A server that refuses every other request
+	// seldom does so.
+	maxRefusalsInRow = 6
 	// failureAlpha is the weight of one attempt in a server's share of failures.
 	failureAlpha = 0.15
 )
@@ -78,25 +82,26 @@
 	unlistedAt  time.Duration
 	// saidLeaving is true once the server has said in a response that it is leaving.
 	// reportLeavingUntil is the time until which that is reported to the other entry VMs.
-	saidLeaving        bool
 	reportLeavingUntil time.Duration
+	saidLeaving        bool
 	// pausedUntil is the time before which the server gets no request and no probe, because
 	// it asked for that. needsTrial is true from then until the server has answered a
 	// request; meanwhile it gets one request at a time.
 	pausedUntil time.Duration
 	needsTrial  bool
+	// needsProbe is true for a server that gets no request until a probe finds it
+	// healthy.
+	needsProbe bool
+	// probing is true during a probe.
+	probing bool
 	// avoidUntil is the time before which the server gets no request. The backoff grows
 	// with consecutiveFailures.
 	avoidUntil          time.Duration
 	consecutiveFailures int
-	// needsProbe is true for a server that gets no request until a probe finds it
-	// healthy.
-	needsProbe bool
 	// reportLostUntil is the time until which the server is reported as lost to the other
 	// entry VMs.
 	reportLostUntil time.Duration
-	// probing is true during a probe. nextProbeAt is the earliest time of the next probe.
-	probing     bool
+	// nextProbeAt is the earliest time of the next probe.
 	nextProbeAt time.Duration
 	// coldUntil is when the server becomes warm. Until then, nextColdSendAt is the
 	// earliest time at which this entry VM may send the server another request.
@@ -107,12 +112,17 @@
 	// computed.
 	coldRate        float64
 	coldRateVersion uint64
+	// refusalsInRow counts the requests that the server has refused since its last answer
+	// although it had free slots.
+	refusalsInRow int
+	// turns is apart, so that a server stays small: many are looked at for each request.
+	turns *turns
 }
 
 func newServer(now time.Duration, srv Server) *server {
 	return &server{
 		Server: srv, key: Key(srv.ID), hash: xxhash.Sum64String(srv.ID), incarnation: incarnationOf(srv),
-		reportedSlowdown: 1, coldUntil: now + srv.ColdFor,
+		reportedSlowdown: 1, coldUntil: now + srv.ColdFor, turns: &turns{},
 	}
 }
 
@@ -175,10 +185,20 @@
 
 // recordSuccess records a response without a server error.
 func (srv *server) recordSuccess() {
-	srv.consecutiveFailures = 0
+	srv.consecutiveFailures, srv.refusalsInRow = 0, 0
 	srv.failureShare = srv.failureShare.With(0, failureAlpha)
 }
 
+// recordRefusal records that the server refused a request although it had free slots. It is
+// not full, and takes the next request as likely as this one, so it is avoided only if it
+// seems to take none.
+func (srv *server) recordRefusal(now time.Duration) {
+	if srv.refusalsInRow++; srv.refusalsInRow >= maxRefusalsInRow {
+		backoff := min(minBackoff<<min(srv.refusalsInRow-maxRefusalsInRow, 8), maxBackoff)
+		srv.avoidUntil = max(srv.avoidUntil, now+backoff)
+	}
+}
+
 // failsOften reports whether the share of failed attempts is too high.
 func (srv *server) failsOften() bool {
 	return srv.failureShare.Count() >= minFailureSamples && srv.failureShare.Value() > maxFailureShare
--- a/internal/steer/direct/status.go
+++ b/internal/steer/direct/status.go
@@ -22,6 +22,14 @@
 	// has been waiting at most.
 	WaitingRequests int
 	LongestWait     time.Duration
+	// WaitingCustomers is the number of customers that have queued requests. ExcessCustomers
+	// are those that ask for several times their share, in the order of their names.
+	WaitingCustomers int
+	ExcessCustomers  []string
+	// FullRefusals is the share of attempts that servers refused because they were full.
+	// TakesTurns is true while the entry VM takes only its turns of free slots.
+	FullRefusals float64
+	TakesTurns   bool
 	// RegionShares holds the share of the own region's requests that each region serves.
 	RegionShares map[string]float64
 }
@@ -55,6 +63,10 @@
 			for _, r := range q.waiting {
 				status.LongestWait = max(status.LongestWait, s.now-r.arrivedAt)
 			}
+			status.WaitingCustomers, status.ExcessCustomers = q.customerStatus()
+		}
+		if f, ok := s.refusals[name]; ok {
+			status.FullRefusals, status.TakesTurns = f.full.Value(), f.takeTurns
 		}
 		if d, ok := s.divisions[name]; ok {
 			status.RegionShares = d.shares
