Expect the relays of other regions less often

The relay of a large region sends one digest in 300 ms to the other regions, and was passed over there after 400 ms: the loss of one datagram was enough. Two relays that passed over each other sent their digests to entry VMs that do not forward them, and were deaf to each other until all 28 candidates had been passed over, 10 s later. Meanwhile the demand of the other region counted as 0.

The relay of another region is now passed over after 1.1 s.

--- a/internal/steer/relay/relay.go
+++ b/internal/steer/relay/relay.go
@@ -19,6 +19,12 @@
 // expected to relay. A running relay sends a few digests in this time.
 const SilenceTimeout = 400 * time.Millisecond
 
+// otherRegionSilenceTimeout takes the place of SilenceTimeout for the relay of another
+// region. The relay of a large region sends there only one digest in 300 ms, and the loss of
+// one must not count as silence: two relays that passed over each other would send their
+// digests to entry VMs that do not forward them, until all candidates were passed over.
+const otherRegionSilenceTimeout = 1100 * time.Millisecond
+
 // Candidate is an entry VM that can become the relay of its region.
 type Candidate struct {
 	Name string
@@ -102,14 +108,19 @@
 }
 
 // isSilent records the named entry VM as the expected relay and reports whether it is
-// silent. It is silent if, for longer than SilenceTimeout, it has been expected to
+// silent. It is silent if, for longer than SilenceTimeout or otherRegionSilenceTimeout, it has been expected to
 // relay and has sent no digest. This entry VM itself is never silent.
 func (e *Election) isSilent(now time.Duration, name string) bool {
 	if e.expectedRelay != name {
 		e.expectedRelay, e.expectedSince = name, now
 	}
 
-	return name != e.self && now-max(e.lastHeard[name], e.expectedSince) > SilenceTimeout
+	timeout := SilenceTimeout
+	if e.self == "" {
+		timeout = otherRegionSilenceTimeout
+	}
+
+	return name != e.self && now-max(e.lastHeard[name], e.expectedSince) > timeout
 }
 
 // standIn returns the first candidate in rest that is in another availability zone than
--- a/internal/steer/relay/relay_test.go
+++ b/internal/steer/relay/relay_test.go
@@ -119,3 +119,23 @@
 	e.Heard(later, "strong")
 	require.False(t, e.Accepts(later, "weak", candidates), "a relay that is back comes first")
 }
+
+// Guards against two relays of large regions that pass over each other after the loss of a
+// datagram each way, and are then deaf to each other until all others were passed over.
+func TestRelaysOfTwoRegionsSurviveLostDigests(t *testing.T) {
+	t.Parallel()
+	const interval = 3 * digestInterval
+	views := []*relay.Election{relay.New(""), relay.New("")}
+	candidates := newRegion(28).candidates
+	for step := range 100 {
+		now := time.Duration(step) * interval
+		for i, view := range views {
+			// View i is that of relay i, which sends its digest to the other region.
+			name, _ := view.RelayAndStandIn(now, candidates)
+			require.Equal(t, candidates[0].Name, name, "step %d", step)
+			if lost := step%9 == 5+i; !lost {
+				views[1-i].Heard(now, name)
+			}
+		}
+	}
+}
