Keep the region of objects that leave home when shares change

The regions divided the points of a service's objects as intervals in a fixed order. When the own share grew, all other intervals moved along: with a share of the own region that rose from 0.31 to 0.75 in 30 s, the region next in order had to learn all its objects again.

Of the points that the own region leaves, lower digits now decide which other region serves them, so that a change of the own share moves nothing else.

--- a/internal/steer/direct/division.go
+++ b/internal/steer/direct/division.go
@@ -2,13 +2,15 @@
 
 import (
 	"math"
-	"slices"
-	"strings"
 	"time"
 
 	"github.com/greengagetally/greengagetally/internal/value/ewma"
 )
 
+// lowerDigitsFactor shifts those binary digits out of a point that decide whether the own
+// region serves it.
+const lowerDigitsFactor = 1 << 20
+
 // demandAlpha is the weight of one tick in the mean demand. The mean covers about the last
 // two seconds.
 const demandAlpha = 0.06
@@ -69,41 +71,41 @@
 	d.shares = next
 }
 
-// regionAt returns the region whose interval contains point, a number in [0, 1). The
-// permitted regions divide [0, 1) in proportion to their shares. Their order is fixed,
-// with the own region first, so that a change of the shares moves only the points near
-// the ends of the intervals. regionAt returns false when no region is permitted.
+// regionAt returns the region that serves the point, a number in [0, 1), among the permitted
+// ones in proportion to their shares. The own region has the first points. The higher digits
+// of a point in the rest decide nothing more: the lower ones decide which other region serves
+// it. So a change of the own share moves points only between the own region and others, and
+// a point that leaves goes to the region where it was when it last left. regionAt returns
+// false when no region is permitted.
 func (d *division) regionAt(point float64, ownRegion string, permitted func(string) bool) (string, bool) {
-	regions := make([]string, 0, len(d.shares))
-	total := 0.0
+	var others []string
+	ownShare, otherShares := 0.0, 0.0
 	for _, region := range sortedKeys(d.shares) {
-		if share := d.shares[region]; share > 0 && permitted(region) {
-			regions = append(regions, region)
-			total += share
+		switch share := d.shares[region]; {
+		case share <= 0 || !permitted(region):
+		case region == ownRegion:
+			ownShare = share
+		default:
+			others = append(others, region)
+			otherShares += share
 		}
 	}
-	if len(regions) == 0 {
+	if ownShare > 0 && (len(others) == 0 || point*(ownShare+otherShares) < ownShare) {
+		return ownRegion, true
+	}
+	if len(others) == 0 {
 		return "", false
 	}
-	slices.SortFunc(regions, func(a, b string) int {
-		switch {
-		case a == ownRegion:
-			return -1
-		case b == ownRegion:
-			return 1
-		}
-
-		return strings.Compare(a, b)
-	})
-	point *= total
-	for _, region := range regions {
-		if point < d.shares[region] {
+	_, lowerDigits := math.Modf(point * lowerDigitsFactor)
+	left := lowerDigits * otherShares
+	for _, region := range others {
+		if left < d.shares[region] {
 			return region, true
 		}
-		point -= d.shares[region]
+		left -= d.shares[region]
 	}
 
-	return regions[len(regions)-1], true
+	return others[len(others)-1], true
 }
 
 // demandRatio returns the demand of all regions divided by their slots, or 1 if there
