Let the entry VMs of a region agree on the division

Objects between two divisions were learned in two regions.

Reports now carry the slots of each entry VM's demand that other regions should serve (nothing for a service that the own region serves alone). Each entry VM moves towards the mean of its region, weighted by demand, and one that starts adopts it.

--- a/internal/steer/direct/division.go
+++ b/internal/steer/direct/division.go
@@ -36,6 +36,10 @@
 type division struct {
 	// shares holds each region's share of the requests; the shares add up to 1.
 	shares map[string]float64
+	// goal holds the shares that this entry VM would choose alone.
+	goal map[string]float64
+	// joined is true once this entry VM has heard another one of its region, or had demand.
+	joined bool
 }
 
 // moveTowards changes the shares towards goal, by at most maxMoved in all: that share
--- a/internal/steer/direct/division_test.go
+++ b/internal/steer/direct/division_test.go
@@ -1,7 +1,9 @@
 package direct
 
 import (
+	"fmt"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
@@ -43,3 +45,48 @@
 		}
 	})
 }
+
+// Guards against entry VMs of a region that divide the same requests differently, because they
+// measure different times or have started later, so that several regions learn one object.
+func TestEntryVMsOfARegionDivideAlike(t *testing.T) {
+	t.Parallel()
+	const tick, startsAt, seconds = 100 * time.Millisecond, 20 * time.Second, 40
+	var servers []Server
+	for region, n := range map[string]int{"own": 3, "a": 10, "b": 12} {
+		for i := range n {
+			id := fmt.Sprint(region, i)
+			servers = append(servers, Server{ID: id, Address: id, Service: "s", Zone: region, Region: region, Slots: 8})
+		}
+	}
+	var vms []State
+	for i := range 3 {
+		vm := New(Settings{Name: fmt.Sprint(i), Region: "own", MaxShift: 0.15, RetryWindow: time.Second})
+		vm, _ = Reduce(vm, ServersChanged{Servers: servers})
+		vm.roundTrips["a"], vm.roundTrips["own"] = time.Duration(30+30*i)*time.Millisecond, time.Millisecond
+		vms = append(vms, vm)
+	}
+	others := Report{Region: "others", Demand: map[string]float64{"s": 1}}
+	for now := tick; now < seconds*time.Second; now += tick {
+		running := vms
+		if now < startsAt {
+			running = vms[:2]
+		}
+		for i, vm := range running {
+			if now < startsAt || i < 2 {
+				// The second entry VM has more callers, and each takes another time.
+				vm.demand("s").requestedSlotTime += time.Duration(15*(i+1)) * tick
+			}
+			for j, peer := range running {
+				if j != i {
+					vm, _ = Reduce(vm, PeerReported{At: At(now), Peer: fmt.Sprint(j), Report: peer.Report()})
+				}
+			}
+			vm, _ = Reduce(vm, PeerReported{At: At(now), Peer: "others", Report: others})
+			running[i], _ = Reduce(vm, Tick{At: At(now)})
+		}
+		for _, vm := range running[1:] {
+			require.InDelta(t, running[0].divisions["s"].shares["own"], vm.divisions["s"].shares["own"], 0.02, "at %s", now)
+		}
+	}
+	require.Less(t, vms[0].divisions["s"].shares["own"], 0.7, "the own region cannot run all requests")
+}
--- a/internal/steer/direct/event.go
+++ b/internal/steer/direct/event.go
@@ -94,6 +94,9 @@
 	// Demand is the number of slots that the requests of the entry VM's callers need, by
 	// service.
 	Demand map[string]float64
+	// Away is the part of Demand that other regions should serve, by service and region. It
+	// names no service that the own region should serve alone.
+	Away   map[string]map[string]float64
 	Region string
 }
 
--- a/internal/steer/direct/tick.go
+++ b/internal/steer/direct/tick.go
@@ -153,15 +153,85 @@
 		s.ownShares[service] = s.ownShare(service)
 		s.slotPrices[service] = slotPrice(s.demandRatios[service], slots)
 		div := getOrCreate(s.divisions, service, func() *division { return &division{} })
-		if demands[s.settings.Region] <= 0 || div.shares == nil {
-			div.shares = divide(s.settings.Region, assumedDemands(slots), slots)
+		own := s.settings.Region
+		if demands[own] <= 0 || div.shares == nil {
+			div.shares = divide(own, assumedDemands(slots), slots)
+		}
+		if demands[own] <= 0 {
+			div.joined = div.joined || s.hearsOwnRegion()
+
+			continue
+		}
+		if !div.joined && d.slots.Count() == 0 {
+			// The first requests of an entry VM that starts go where those of the others go.
+			div.shares = s.regionGoal(service, div.shares)
+		}
+		div.joined = true
+		if div.goal = divide(own, demands, slots); div.goal != nil {
+			div.moveTowards(s.regionGoal(service, div.goal), divisionChange(s.settings.MaxShift, elapsed))
+		}
+	}
+}
+
+// hearsOwnRegion reports whether another entry VM of the own region has reported.
+func (s *state) hearsOwnRegion() bool {
+	for _, p := range s.peers {
+		if p.Region == s.settings.Region {
+			return true
+		}
+	}
+
+	return false
+}
+
+// ownGoal returns the shares of a service's requests that this entry VM would choose alone,
+// nil while it knows none.
+func (s *state) ownGoal(service string) map[string]float64 {
+	if d, ok := s.divisions[service]; ok {
+		return d.goal
+	}
 
+	return nil
+}
+
+// regionGoal returns the mean of the goals of the own region's entry VMs, weighted by their
+// callers' demand; ownGoal is that of this entry VM. They measure different times, and would
+// otherwise send the requests for one object to several regions. While another one still
+// names a region that has no servers, regionGoal returns ownGoal.
+func (s *state) regionGoal(service string, ownGoal map[string]float64) map[string]float64 {
+	own := s.settings.Region
+	var total float64
+	if d := s.demand(service); d.slots.Count() > 0 {
+		total = d.slots.Value()
+	}
+	goal := make(map[string]float64, len(ownGoal))
+	for region, share := range ownGoal {
+		goal[region] = share * total
+	}
+	for _, name := range sortedKeys(s.peers) {
+		p := s.peers[name]
+		if p.Region != own || p.Demand[service] <= 0 {
 			continue
 		}
-		if goal := divide(s.settings.Region, demands, slots); goal != nil {
-			div.moveTowards(goal, divisionChange(s.settings.MaxShift, elapsed))
+		total += p.Demand[service]
+		goal[own] += p.Demand[service]
+		for _, region := range sortedKeys(p.Away[service]) {
+			slots := p.Away[service][region]
+			if _, ok := ownGoal[region]; !ok {
+				return ownGoal
+			}
+			goal[region] += slots
+			goal[own] -= slots
 		}
 	}
+	if total <= 0 || goal[own] < 0 {
+		return ownGoal
+	}
+	for region := range goal {
+		goal[region] /= total
+	}
+
+	return goal
 }
 
 // slotsByRegion returns the slots of a service in each region. Servers that are
--- a/internal/wire/gossip/gossip.go
+++ b/internal/wire/gossip/gossip.go
@@ -69,6 +69,8 @@
 	// servers that in a row broke the connection while they had a request with this content.
 	// Key 3 was their number.
 	Suspects map[uint64][]uint64 `cbor:"6,keyasint,omitempty"`
+	// Away is, by service and region, the part of Demand that other regions should serve.
+	Away map[string]map[string]float64 `cbor:"7,keyasint,omitempty"`
 }
 
 // Report is what an entry VM tells the relay of its region and the relay's stand-in. The
