Divide by the waits of servers, hold peaks and keep what fits where it is

A region kept what fitted into its slots less their square root, as if each request could use any free slot of the region. And as its demand fell it took 0.015 of the requests home each second, which its servers had to learn, to send them away again at the next peak. The other regions had half of their slots free, 70 ms away.

A region now keeps what waits no longer than the network time to another region; what has no room at a peak of the number of requests stays away, the longer, the more times the network time must be saved to make up for the learning; and what fits where it is served stays there. Where a region has room, or all are full, the division is as before.

--- a/internal/steer/direct/division.go
+++ b/internal/steer/direct/division.go
@@ -3,27 +3,15 @@
 import (
 	"math"
 	"time"
-
-	"github.com/greengagetally/greengagetally/internal/value/ewma"
 )
 
-// lowerDigitsFactor shifts those binary digits out of a point that decide whether the own
-// region serves it.
-const lowerDigitsFactor = 1 << 20
-
-// demandAlpha is the weight of one tick in the mean demand. The mean covers about the last
-// two seconds.
-const demandAlpha = 0.06
-
-// demand is the number of slots of one service that the requests of this entry VM's
-// callers need, whether or not they are served.
-type demand struct {
-	// requestedSlotTime is the total time in slots that the requests since the last tick
-	// are expected to take.
-	requestedSlotTime time.Duration
-	// slots is the mean number of slots needed.
-	slots ewma.Mean
-}
+const (
+	// shareStep is the precision of a share of slots.
+	shareStep = 1.0 / 64
+	// lowerDigitsFactor shifts those binary digits out of a point that decide whether the own
+	// region serves it.
+	lowerDigitsFactor = 1 << 20
+)
 
 // divisionChange returns the share of a region's requests that the division may move in
 // a time: what the spillover leaves of MaxShift.
@@ -152,12 +140,40 @@
 	return demands
 }
 
-// divide returns the share of the own region's requests that each region should serve.
-// The own region serves the requests that fit into the usableShare of its slots, or into
-// the demand ratio of all regions if that is higher. The other
-// regions serve the rest in proportion to their free slots. divide returns nil if there
-// are no slots.
-func divide(ownRegion string, demands, slots map[string]float64) map[string]float64 {
+// worthwhileShare returns the share of the slots of a server that can be in use while its
+// requests wait for a slot no longer than the network time to another region. Requests keep
+// to the servers that know their objects, so that each server has its own queue, however
+// many servers of the region have free slots. The wait is that in a queue with several
+// servers (M/M/c, approximation of Sakasegawa).
+func worthwhileShare(slotsPerServer float64, slotTime, networkTime time.Duration) float64 {
+	if slotTime <= 0 || networkTime <= 0 {
+		return 1
+	}
+	n := max(slotsPerServer, 1)
+	exponent := math.Sqrt(2*(n+1)) - 1
+	wait := func(use float64) time.Duration {
+		return time.Duration(float64(slotTime) / n * math.Pow(use, exponent) / (1 - use))
+	}
+	low, high := 0.0, 1.0
+	for high-low > shareStep {
+		if use := (low + high) / 2; wait(use) <= networkTime {
+			low = use
+		} else {
+			high = use
+		}
+	}
+
+	return low
+}
+
+// divide returns the share of the own region's requests that each region should serve. The
+// own region serves the requests that fit into the usableShare of its slots, but not more than
+// worthwhile of them, or into the demand ratio of all regions if that is higher. The other
+// regions serve the rest, each what fits into its free slots. What fits where it is served at
+// present stays there, because a request that changes its region comes to a server that does
+// not know its object. Without present shares, the others serve the rest in proportion to
+// their free slots. divide returns nil if there are no slots.
+func divide(ownRegion string, demands, slots, present map[string]float64, worthwhile float64) map[string]float64 {
 	totalSlots := 0.0
 	for _, n := range slots {
 		totalSlots += n
@@ -166,11 +182,8 @@
 		return nil
 	}
 	ratio := demandRatio(demands, slots)
-	limit := func(region string) float64 {
-		return slots[region] * max(usableShare(slots[region]), ratio)
-	}
-	localDemand := func(region string) float64 {
-		return min(demands[region], limit(region))
+	overflow := func(region string) float64 {
+		return demands[region] - slots[region]*max(min(usableShare(slots[region]), worthwhile), ratio)
 	}
 	ownDemand := demands[ownRegion]
 	if ownDemand <= 0 {
@@ -179,25 +192,44 @@
 		}
 		ownDemand = 1
 	}
-	shares := map[string]float64{}
-	freeSlots := 0.0
+	mustLeave := min(max(overflow(ownRegion)/ownDemand, 0), 1)
+	claim, claims := mustLeave*ownDemand, 0.0
+	room := map[string]float64{}
+	totalRoom := 0.0
 	for _, region := range sortedKeys(slots) {
-		if region != ownRegion {
-			freeSlots += max(limit(region)-localDemand(region), 0)
+		switch free := -overflow(region); {
+		case region == ownRegion:
+			claims += claim
+		case free > 0:
+			room[region] = free / ownDemand
+		default:
+			claims -= free
 		}
 	}
-	localShare := min(localDemand(ownRegion)/ownDemand, 1)
-	if freeSlots <= 0 && localShare > 0 {
-		localShare = 1
+	for _, region := range sortedKeys(room) {
+		room[region] *= claim / max(claims, math.SmallestNonzeroFloat64)
+		totalRoom += room[region]
 	}
-	for region, n := range slots {
+	away := mustLeave
+	if totalRoom <= 0 && mustLeave < 1 {
+		away = 0
+	}
+	shares := make(map[string]float64, len(slots))
+	kept := 0.0
+	for _, region := range sortedKeys(room) {
+		if present[region] > 0 {
+			shares[region] = min(present[region]*min(away/max(1-present[ownRegion], present[region]), 1), room[region])
+			kept += shares[region]
+		}
+	}
+	for _, region := range sortedKeys(slots) {
 		switch {
 		case region == ownRegion:
-			shares[region] = localShare
-		case freeSlots > 0:
-			shares[region] = (1 - localShare) * max(limit(region)-localDemand(region), 0) / freeSlots
+			shares[region] = 1 - away
+		case totalRoom > kept:
+			shares[region] += (away - kept) * (room[region] - shares[region]) / (totalRoom - kept)
 		default:
-			shares[region] = (1 - localShare) * n / totalSlots
+			shares[region] += (away - kept) * slots[region] / (totalSlots - slots[ownRegion])
 		}
 	}
 
--- a/internal/steer/direct/division_test.go
+++ b/internal/steer/direct/division_test.go
@@ -74,7 +74,10 @@
 		for i, vm := range running {
 			if now < startsAt || i < 2 {
 				// The second entry VM has more callers, and each takes another time.
-				vm.demand("s").requestedSlotTime += time.Duration(15*(i+1)) * tick
+				vm.demand("s").count(time.Duration(i+1)*tick, tick, true)
+				for range 14 * (i + 1) {
+					vm.demand("s").count(tick, tick, true)
+				}
 			}
 			for j, peer := range running {
 				if j != i {
--- a/internal/steer/direct/simulation_test.go
+++ b/internal/steer/direct/simulation_test.go
@@ -42,6 +42,8 @@
 	Objects int `yaml:"objects-per-region"`
 	// Rate is the number of new callers a second in each region.
 	Rate float64 `yaml:"rate"`
+	// Wave lets the rate of the regions rise and fall in turn.
+	Wave wave `yaml:"wave"`
 	// From BurstAt on, for BurstFor, the rate is BurstTimes as high.
 	BurstAt    time.Duration `yaml:"burst-at"`
 	BurstFor   time.Duration `yaml:"burst-for"`
@@ -59,6 +61,9 @@
 	// Kinds are the kinds of callers. Without any, all have Patience and MaxRequests.
 	Kinds   []callerKind `yaml:"callers"`
 	Seconds int          `yaml:"seconds"`
+	// Draws is the number of plays with different random numbers whose callers are counted
+	// together; 0 means one.
+	Draws int `yaml:"draws"`
 	// CountFrom is the second from which callers are counted. Before that the servers get
 	// to know the objects.
 	CountFrom int `yaml:"from-second"`
@@ -94,11 +99,33 @@
 	MinUrgent   float64       `yaml:"least-urgent"`
 	MaxMedian   time.Duration `yaml:"most-p50"`
 	MaxP99      time.Duration `yaml:"most-p99"`
+	// Soon is the time to the answer for which callers hope. MaxLateTimes bounds how many
+	// times as large the share of one region's callers without an answer by then is as that
+	// of the callers of all other regions.
+	Soon         time.Duration `yaml:"soon"`
+	MaxLateTimes float64       `yaml:"most-late-times"`
 	// MaxInVain bounds the share of the begun work that is not finished in its caller's
 	// time.
 	MaxInVain float64 `yaml:"most-in-vain"`
 }
 
+// wave is a rate that rises and falls by the share Swing in each Period. Phases holds for
+// each region the part of the period that has passed at the start.
+type wave struct {
+	Swing  float64       `yaml:"swing"`
+	Period time.Duration `yaml:"period"`
+	Phases []float64     `yaml:"phases"`
+}
+
+// factorAt returns the rate of a region relative to the mean.
+func (w wave) factorAt(now time.Duration, region int) float64 {
+	if w.Period == 0 {
+		return 1
+	}
+
+	return 1 + w.Swing*math.Sin(2*math.Pi*(float64(now)/float64(w.Period)+w.Phases[region]))
+}
+
 // callerKind is a kind of callers.
 type callerKind struct {
 	// Share is the share of the callers that are of this kind.
@@ -115,9 +142,19 @@
 // defaultMaxRequests is the value of MaxRequests if a scenario does not set it.
 const defaultMaxRequests = 4
 
-// count counts some callers, and those of them that were answered in their time.
+// count counts some callers, those of them that were answered in their time, and those
+// that were answered within scenario.Soon.
 type count struct {
-	callers, answered int
+	callers, answered, soon int
+}
+
+func (c count) with(other count) count {
+	return count{c.callers + other.callers, c.answered + other.answered, c.soon + other.soon}
+}
+
+// lateShare returns the share of the callers that were not answered soon.
+func (c count) lateShare() float64 {
+	return 1 - float64(c.soon)/float64(max(c.callers, 1))
 }
 
 // outcome counts callers by what they got in the end, and the work for them.
@@ -143,12 +180,54 @@
 	return sorted[int(p/100*float64(len(sorted)-1))]
 }
 
+// with returns the outcome of the callers of o and other.
+func (o outcome) with(other outcome) outcome {
+	o.count = o.count.with(other.count)
+	o.refused += other.refused
+	o.failed += other.failed
+	o.requests += other.requests
+	o.begun += other.begun
+	o.inVain += other.inVain
+	o.times = append(slices.Clone(o.times), other.times...)
+	o.byRegion, o.byLevel = sumCounts(o.byRegion, other.byRegion), sumCounts(o.byLevel, other.byLevel)
+
+	return o
+}
+
+func sumCounts(a, b map[int]*count) map[int]*count {
+	sum := map[int]*count{}
+	for _, m := range []map[int]*count{a, b} {
+		for key, n := range m {
+			var old count
+			if sum[key] != nil {
+				old = *sum[key]
+			}
+			both := old.with(*n)
+			sum[key] = &both
+		}
+	}
+
+	return sum
+}
+
+// lateTimes returns how many times as large the share of late callers is in the worst
+// region as in all others.
+func (o outcome) lateTimes() float64 {
+	worst := 0.0
+	for _, n := range o.byRegion {
+		others := count{callers: o.callers - n.callers, soon: o.soon - n.soon}
+		worst = max(worst, n.lateShare()/others.lateShare())
+	}
+
+	return worst
+}
+
 func (o outcome) String() string {
 	share := func(n, of int) float64 { return float64(n) / float64(max(of, 1)) }
 	var groups strings.Builder
 	for _, m := range []map[int]*count{o.byRegion, o.byLevel} {
 		for _, key := range slices.Sorted(maps.Keys(m)) {
-			fmt.Fprintf(&groups, " %.3f", share(m[key].answered, m[key].callers))
+			fmt.Fprintf(&groups, " %.3f (late %.3f)", share(m[key].answered, m[key].callers), m[key].lateShare())
 		}
 		groups.WriteString(" |")
 	}
@@ -171,7 +250,7 @@
 		t.Run(filepath.Base(file), func(t *testing.T) {
 			t.Parallel()
 			sc := readScenario(t, file)
-			got := newSimulation(sc, "").run()
+			got := playDraws(sc)
 			t.Logf("%s: %s", filepath.Base(file), got)
 			share := func(n, of int) float64 { return float64(n) / float64(of) }
 			require.GreaterOrEqual(t, share(got.answered, got.callers), sc.MinAnswered)
@@ -181,6 +260,7 @@
 			require.GreaterOrEqual(t, share(got.byLevel[0].answered, got.byLevel[0].callers), sc.MinUrgent)
 			require.LessOrEqual(t, got.percentile(50), cmp.Or(sc.MaxMedian, math.MaxInt64))
 			require.LessOrEqual(t, got.percentile(99), cmp.Or(sc.MaxP99, math.MaxInt64))
+			require.LessOrEqual(t, got.lateTimes(), cmp.Or(sc.MaxLateTimes, math.Inf(1)))
 			require.LessOrEqual(t, share(got.inVain, got.begun), cmp.Or(sc.MaxInVain, 1))
 			if sc.Former != "" {
 				former := newSimulation(sc, sc.Former).run()
@@ -192,6 +272,18 @@
 	}
 }
 
+// playDraws returns the outcome of all draws of a scenario.
+func playDraws(sc scenario) outcome {
+	var all outcome
+	for draw := range max(sc.Draws, 1) {
+		sim := newSimulation(sc, "")
+		sim.random = rand.New(rand.NewPCG(uint64(draw)+1, 2)) //nolint:gosec // A fixed seed repeats the load.
+		all = all.with(sim.run())
+	}
+
+	return all
+}
+
 func readScenario(t *testing.T, file string) scenario {
 	t.Helper()
 	data, err := os.ReadFile(file)
@@ -373,7 +465,7 @@
 
 // scheduleArrivals schedules the callers of a region until the end.
 func (sim *simulation) scheduleArrivals(r int, end time.Duration) {
-	rate := sim.Rate
+	rate := sim.Rate * sim.Wave.factorAt(sim.now, r)
 	if sim.now >= sim.BurstAt && sim.now < sim.BurstAt+sim.BurstFor {
 		rate *= sim.BurstTimes
 	}
@@ -635,6 +727,9 @@
 		sim.outcome.times = append(sim.outcome.times, took)
 		for _, n := range sim.countsOf(c) {
 			n.answered++
+			if took <= sim.Soon {
+				n.soon++
+			}
 		}
 	}
 }
--- a/internal/steer/direct/tick.go
+++ b/internal/steer/direct/tick.go
@@ -144,10 +144,7 @@
 func (s *state) updateDivisions(elapsed time.Duration) {
 	for service := range s.byService {
 		d := s.demand(service)
-		if d.slots.Count() > 0 || d.requestedSlotTime > 0 {
-			d.slots = d.slots.With(float64(d.requestedSlotTime)/float64(elapsed), demandAlpha)
-		}
-		d.requestedSlotTime = 0
+		d.tick(elapsed)
 		slots, demands := s.slotsByRegion(service), s.demandByRegion(service, d)
 		s.demandRatios[service] = demandRatio(demands, slots)
 		s.ownShares[service] = s.ownShare(service)
@@ -155,7 +152,7 @@
 		div := getOrCreate(s.divisions, service, func() *division { return &division{} })
 		own := s.settings.Region
 		if demands[own] <= 0 || div.shares == nil {
-			div.shares = divide(own, assumedDemands(slots), slots)
+			div.shares = divide(own, assumedDemands(slots), slots, nil, 1)
 		}
 		if demands[own] <= 0 {
 			div.joined = div.joined || s.hearsOwnRegion()
@@ -167,7 +164,11 @@
 			div.shares = s.regionGoal(service, div.shares)
 		}
 		div.joined = true
-		if div.goal = divide(own, demands, slots); div.goal != nil {
+		worthwhile := s.worthwhileShare(service, d)
+		if peak := d.holdPeak(demands[own], elapsed, s.networkTime()); s.demandRatios[service] < worthwhile {
+			demands[own] = peak
+		}
+		if div.goal = divide(own, demands, slots, div.shares, worthwhile); div.goal != nil {
 			div.moveTowards(s.regionGoal(service, div.goal), divisionChange(s.settings.MaxShift, elapsed))
 		}
 	}
@@ -234,6 +235,33 @@
 	return goal
 }
 
+// networkTime returns by how much longer the network time to the nearest other region and back
+// is than to servers of the own region, 0 while it is not known.
+func (s *state) networkTime() time.Duration {
+	own, nearest := s.settings.Region, time.Duration(0)
+	for region, roundTrip := range s.roundTrips {
+		if t := roundTrip - s.roundTrips[own]; region != own && (nearest == 0 || t < nearest) {
+			nearest = t
+		}
+	}
+
+	return max(nearest, 0)
+}
+
+// worthwhileShare returns the share of the slots of a service that can be in use in one
+// region while it is not worth the network time to send requests to another.
+func (s *state) worthwhileShare(service string, d *demand) float64 {
+	if !d.sticky {
+		return 1
+	}
+	slots := 0
+	for _, srv := range s.byService[service] {
+		slots += srv.Slots
+	}
+
+	return worthwhileShare(float64(slots)/float64(max(len(s.byService[service]), 1)), time.Duration(d.requestTime.Value()), s.networkTime())
+}
+
 // slotsByRegion returns the slots of a service in each region. Servers that are
 // leaving, paused, evacuated or down do not count.
 func (s *state) slotsByRegion(service string) map[string]float64 {
