Keep the requests of regions whose use is near the mean

The bound by waits lies lower than the square-root bound where requests are long, so that even regions between both would have exchanged requests whenever their demand varied. A region up to 1.15 times the use of all regions keeps its requests while they fit its slots less their square root, as before the bound by waits.

--- a/internal/steer/direct/division.go
+++ b/internal/steer/direct/division.go
@@ -8,6 +8,10 @@
 const (
 	// shareStep is the precision of a share of slots.
 	shareStep = 1.0 / 64
+	// evenTolerance is how many times as large as the demand ratio of all regions the use of a
+	// region's slots may be while the regions count as even: demand varies from moment to
+	// moment, and requests that leave for that would soon return.
+	evenTolerance = 1.15
 	// lowerDigitsFactor shifts those binary digits out of a point that decide whether the own
 	// region serves it.
 	lowerDigitsFactor = 1 << 20
@@ -168,7 +172,8 @@
 
 // divide returns the share of the own region's requests that each region should serve. The
 // own region serves the requests that fit into the usableShare of its slots, but not more than
-// worthwhile of them, or into the demand ratio of all regions if that is higher. The other
+// worthwhile of them, or into the demand ratio of all regions if that is higher. A region whose
+// use is near that ratio keeps its requests while they fit into the usableShare. The other
 // regions serve the rest, each what fits into its free slots. What fits where it is served at
 // present stays there, because a request that changes its region comes to a server that does
 // not know its object. Without present shares, the others serve the rest in proportion to
@@ -183,7 +188,7 @@
 	}
 	ratio := demandRatio(demands, slots)
 	overflow := func(region string) float64 {
-		return demands[region] - slots[region]*max(min(usableShare(slots[region]), worthwhile), ratio)
+		return demands[region] - slots[region]*max(min(usableShare(slots[region]), max(worthwhile, evenTolerance*ratio)), ratio)
 	}
 	ownDemand := demands[ownRegion]
 	if ownDemand <= 0 {
