--- a/internal/run/direct/entryvm.go
+++ b/internal/run/direct/entryvm.go
@@ -267,7 +267,8 @@
 		for _, s := range services {
 			p.log.Info("service status", zap.String("service", s.Service), zap.Float64("use", s.DemandRatio), zap.Duration("longest-wait", s.LongestWait),
 				zap.Int("servers", s.ServerCount), zap.Int("usable", s.UsableServers), zap.Int("cold", s.ColdServers),
-				zap.Float64("occupied", s.Occupied), zap.Int("slots", s.Slots), zap.Int("waiting", s.WaitingRequests), zap.Any("parts", s.RegionShares))
+				zap.Float64("occupied", s.Occupied), zap.Int("slots", s.Slots), zap.Int("waiting", s.WaitingRequests), zap.Any("parts", s.RegionShares),
+				zap.Any("demands", s.RegionDemands), zap.Float64("bound", s.RegionBound))
 		}
 		for _, r := range routes {
 			p.log.Info("route status", zap.String("route", r.Route), zap.Duration("first", r.FirstRankTime), zap.Duration("second", r.SecondRankTime),
--- a/internal/steer/direct/division.go
+++ b/internal/steer/direct/division.go
@@ -32,6 +32,11 @@
 	goal map[string]float64
 	// joined is true once this entry VM has heard another one of its region, or had demand.
 	joined bool
+	// demands are the slots that the requests of each region's callers need, by which goal was
+	// chosen. bound is the share of a region's slots up to which requests wait no longer than
+	// the network time to another region.
+	demands map[string]float64
+	bound   float64
 }
 
 // moveTowards changes the shares towards goal, by at most maxMoved in all: that share
--- a/internal/steer/direct/status.go
+++ b/internal/steer/direct/status.go
@@ -24,6 +24,11 @@
 	LongestWait     time.Duration
 	// RegionShares holds the share of the own region's requests that each region serves.
 	RegionShares map[string]float64
+	// RegionDemands holds the slots that the requests of each region's callers need, for the
+	// own region at the expected peak. RegionBound is the share of a region's slots up to which
+	// requests wait no longer than the network time to another region; 1 if that is not known.
+	RegionDemands map[string]float64
+	RegionBound   float64
 }
 
 // RouteStatus summarises the processing times of a route.
@@ -57,7 +62,7 @@
 			}
 		}
 		if d, ok := s.divisions[name]; ok {
-			status.RegionShares = d.shares
+			status.RegionShares, status.RegionDemands, status.RegionBound = d.shares, d.demands, d.bound
 		}
 		out = append(out, status)
 	}
--- a/internal/steer/direct/tick.go
+++ b/internal/steer/direct/tick.go
@@ -168,6 +168,7 @@
 		if peak := d.holdPeak(demands[own], elapsed, s.networkTime()); s.demandRatios[service] < worthwhile {
 			demands[own] = peak
 		}
+		div.demands, div.bound = demands, worthwhile
 		if div.goal = divide(own, demands, slots, div.shares, worthwhile); div.goal != nil {
 			div.moveTowards(s.regionGoal(service, div.goal), divisionChange(s.settings.MaxShift, elapsed))
 		}
