--- a/internal/steer/direct/demand.go
+++ b/internal/steer/direct/demand.go
@@ -11,13 +11,6 @@
 	// demandAlpha is the weight of one tick in the mean demand. The mean covers about the last
 	// two seconds.
 	demandAlpha = 0.06
-	// slowRateAlpha is the weight of one tick in the slow mean of the number of requests, which
-	// then lags slowRateLag behind the mean demand.
-	slowRateAlpha = 0.025
-	slowRateLag   = 4 * time.Second
-	// lookAhead is the time by which the division is ahead of a rising number of requests, as
-	// far as it rises evenly.
-	lookAhead = 6 * time.Second
 	// objectInterval is the assumed time between two requests for one object.
 	objectInterval = 20 * time.Second
 )
@@ -34,9 +27,6 @@
 	slots ewma.Mean
 	// requestTime and learningTime are the means of both times for one request, in nanoseconds.
 	requestTime, learningTime ewma.Mean
-	// slowRate is a mean of the number of requests of the region's callers a second that lags
-	// behind by slowRateLag.
-	slowRate ewma.Mean
 	// peakRate is the number of requests of the region's callers a second at the last peak.
 	peakRate float64
 	// sticky is true when requests prefer the servers that know their objects.
@@ -76,10 +66,7 @@
 	}
 	learnings := d.learningTime.Value() / float64(networkTime)
 	held := math.Exp(-elapsed.Seconds() / max(learnings*objectInterval.Seconds(), elapsed.Seconds()))
-	rate := slots / requestTime
-	d.slowRate = d.slowRate.With(rate, slowRateAlpha)
-	rising := max(rate-d.slowRate.Value(), 0) / slowRateLag.Seconds()
-	d.peakRate = max(rate+rising*lookAhead.Seconds(), d.peakRate*held)
+	d.peakRate = max(slots/requestTime, d.peakRate*held)
 
 	return d.peakRate * requestTime
 }
--- a/internal/steer/direct/spillover.go
+++ b/internal/steer/direct/spillover.go
@@ -8,7 +8,7 @@
 	// spilloverPart is the part of MaxShift that the spillover may use; the rest is for
 	// changes of the division. The spillover has the greater part because it must take up
 	// what changes within moments.
-	spilloverPart = 0.6
+	spilloverPart = 0.8
 	// spilloverBuckets is the number of buckets in spilloverWindow.
 	spilloverBuckets = 20
 	// minSpillover is added to the bound, so that an entry VM with few requests may send a
--- a/internal/steer/direct/status.go
+++ b/internal/steer/direct/status.go
@@ -25,7 +25,7 @@
 	// RegionShares holds the share of the own region's requests that each region serves.
 	RegionShares map[string]float64
 	// RegionDemands holds the slots that the requests of each region's callers need, for the
-	// own region at the expected peak. RegionBound is the share of a region's slots up to which
+	// own region at its last peak. RegionBound is the share of a region's slots up to which
 	// requests wait no longer than the network time to another region; 1 if that is not known.
 	RegionDemands map[string]float64
 	RegionBound   float64
