--- a/internal/steer/direct/direct.go
+++ b/internal/steer/direct/direct.go
@@ -269,7 +269,7 @@
 		return
 	}
 	s.retryBudget(r.service).countFirstAttempt(s.now)
-	s.demand(r.service).requestedSlotTime += s.residenceTime(r)
+	s.demand(r.service).count(s.residenceTime(r), max(s.typicalTime(r, otherRank)-s.typicalTime(r, firstRank), 0), r.route.Sticky)
 	s.queue(r.service).countRequest(r)
 	s.admit(r)
 }
