Give up a caller only when it takes nothing for 20 s

Cause: a response had to be written in 20 s as a whole, so a caller that read a long one slowly got a broken answer although it made progress. Change: callerWriter repeats a write while the caller has taken a byte in the last 20 s. It asks the connection every 5 s, because the kernel reports room only once a third of the send buffer is free. 100 Continue and streamed responses are written in the same way.

--- a/internal/wire/http1/body.go
+++ b/internal/wire/http1/body.go
@@ -98,8 +98,7 @@
 
 // writeContinue writes 100 Continue. No response may be written meanwhile.
 func (c *callerConn) writeContinue() error {
-	_ = c.raw.SetWriteDeadline(time.Now().Add(writeTimeout)) //nolint:forbidigo // Deadlines of connections are wall-clock times.
-	if _, err := io.WriteString(c.raw, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
+	if _, err := (callerWriter{conn: c.raw}).Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
 		return fmt.Errorf("send 100 Continue: %w", err)
 	}
 
--- a/internal/wire/http1/caller.go
+++ b/internal/wire/http1/caller.go
@@ -27,8 +27,6 @@
 	// closed. Closing a connection with unread bytes resets it, and a reset could discard
 	// the last response on its way.
 	lingerTimeout = 500 * time.Millisecond
-	// writeTimeout bounds the writing of a response to a caller that does not read it.
-	writeTimeout = 20 * time.Second
 )
 
 // callerConn is a caller's connection. One goroutine reads the requests. The exchange of
--- a/internal/wire/http1/exchange.go
+++ b/internal/wire/http1/exchange.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"strconv"
 	"sync"
-	"time"
 )
 
 // Exchange is one request of a caller and the response to it.
@@ -89,7 +88,6 @@
 
 		return
 	}
-	_ = x.conn.raw.SetWriteDeadline(time.Now().Add(writeTimeout)) //nolint:forbidigo // Deadlines of connections are wall-clock times.
 	x.conn.finish(x, x.writeResponse(r) != nil)
 }
 
@@ -101,48 +99,48 @@
 	out.Reset()
 	chunked := r.Rest != nil && r.Length < 0
 	x.writeHeader(out, r, chunked)
+	w := callerWriter{conn: x.conn.raw}
 	if x.Method == http.MethodHead {
-		_, err := x.conn.raw.Write(out.Bytes())
+		_, err := w.Write(out.Bytes())
 
-		return err //nolint:wrapcheck // Only its presence matters.
+		return err
 	}
-	if !chunked {
-		out.Write(r.Body)
-		_, err := x.conn.raw.Write(out.Bytes())
-		if err != nil || r.Rest == nil {
-			return err //nolint:wrapcheck // Only its presence matters.
-		}
-		n, err := io.Copy(x.conn.raw, r.Rest)
-		if err == nil && n != r.Length-int64(len(r.Body)) {
-			err = io.ErrUnexpectedEOF
-		}
-
-		return err //nolint:wrapcheck // Only its presence matters.
+	if chunked {
+		return writeChunks(w, out.Bytes(), r)
 	}
-	if _, err := x.conn.raw.Write(out.Bytes()); err != nil {
-		return err //nolint:wrapcheck // Only its presence matters.
+	out.Write(r.Body)
+	if _, err := w.Write(out.Bytes()); err != nil || r.Rest == nil {
+		return err
+	}
+	n, err := io.Copy(w, r.Rest)
+	if err == nil && n != r.Length-int64(len(r.Body)) {
+		err = io.ErrUnexpectedEOF
 	}
 
-	return x.writeChunks(r)
+	return err //nolint:wrapcheck // Only its presence matters.
 }
 
-// writeChunks writes a body of unknown length in chunks.
-func (x *Exchange) writeChunks(r Response) error {
-	w := chunkWriter{dst: x.conn.raw}
-	if _, err := w.Write(r.Body); err != nil {
+// writeChunks writes a header and a body of unknown length in chunks.
+func writeChunks(w callerWriter, header []byte, r Response) error {
+	if _, err := w.Write(header); err != nil {
 		return err
 	}
-	if _, err := io.Copy(w, r.Rest); err != nil {
+	chunks := chunkWriter{dst: w}
+	if _, err := chunks.Write(r.Body); err != nil {
+		return err
+	}
+	if _, err := io.Copy(chunks, r.Rest); err != nil {
 		return err //nolint:wrapcheck // Only its presence matters.
 	}
-	_, err := io.WriteString(x.conn.raw, "0\r\n\r\n")
 
-	return err //nolint:wrapcheck // Only its presence matters.
+	_, err := w.Write([]byte("0\r\n\r\n"))
+
+	return err
 }
 
 // chunkWriter writes every slice as one chunk of the chunked transfer encoding.
 type chunkWriter struct {
-	dst io.Writer
+	dst callerWriter
 }
 
 func (w chunkWriter) Write(p []byte) (int, error) {
@@ -152,7 +150,7 @@
 	chunk := strconv.AppendInt(nil, int64(len(p)), 16)
 	chunk = append(append(append(chunk, "\r\n"...), p...), "\r\n"...)
 	if _, err := w.dst.Write(chunk); err != nil {
-		return 0, err //nolint:wrapcheck // A writer returns the error as it is.
+		return 0, err
 	}
 
 	return len(p), nil
