Write long answers without a copy

Cause: the header and the whole body were copied into one buffer for writing, and each chunk into a new one. While a slow caller read, an answer held its reserved memory twice or more; the buffers also stayed in the pool. Change: bodies above 4 KB and chunks are written from where they are (net.Buffers).

--- a/internal/wire/http1/exchange.go
+++ b/internal/wire/http1/exchange.go
@@ -91,6 +91,10 @@
 	x.conn.finish(x, x.writeResponse(r) != nil)
 }
 
+// maxCopiedBody is the size in bytes of the longest body that is written together with the
+// header. A longer one is not copied, because its memory is reserved only once.
+const maxCopiedBody = 4 << 10
+
 // writeResponse writes the header and the body. The response to a HEAD request has no
 // body.
 func (x *Exchange) writeResponse(r Response) error {
@@ -108,8 +112,14 @@
 	if chunked {
 		return writeChunks(w, out.Bytes(), r)
 	}
-	out.Write(r.Body)
-	if _, err := w.Write(out.Bytes()); err != nil || r.Rest == nil {
+	var err error
+	if len(r.Body) <= maxCopiedBody {
+		out.Write(r.Body)
+		_, err = w.Write(out.Bytes())
+	} else {
+		err = w.writeParts(out.Bytes(), r.Body)
+	}
+	if err != nil || r.Rest == nil {
 		return err
 	}
 	n, err := io.Copy(w, r.Rest)
@@ -147,9 +157,8 @@
 	if len(p) == 0 {
 		return 0, nil
 	}
-	chunk := strconv.AppendInt(nil, int64(len(p)), 16)
-	chunk = append(append(append(chunk, "\r\n"...), p...), "\r\n"...)
-	if _, err := w.dst.Write(chunk); err != nil {
+	size := append(strconv.AppendInt(nil, int64(len(p)), 16), "\r\n"...)
+	if err := w.dst.writeParts(size, p, []byte("\r\n")); err != nil {
 		return 0, err
 	}
 
--- a/internal/wire/http1/slow.go
+++ b/internal/wire/http1/slow.go
@@ -27,19 +27,26 @@
 
 func (w callerWriter) Write(p []byte) (int, error) {
 	written := 0
-	err := w.persist(func() (int, error) {
+	err := w.persist(func() (int64, error) {
 		n, err := w.conn.Write(p[written:])
 		written += n
 
-		return n, err //nolint:wrapcheck // Only its presence matters.
+		return int64(n), err //nolint:wrapcheck // Only its presence matters.
 	})
 
 	return written, err
 }
 
+// writeParts writes the parts one after the other, without a copy.
+func (w callerWriter) writeParts(parts ...[]byte) error {
+	left := net.Buffers(parts)
+
+	return w.persist(func() (int64, error) { return left.WriteTo(w.conn) })
+}
+
 // persist repeats a write, which continues where the one before has ended, while the caller
 // takes any bytes.
-func (w callerWriter) persist(write func() (int, error)) error {
+func (w callerWriter) persist(write func() (int64, error)) error {
 	for tries := 0; tries < writeTries; tries++ {
 		_ = w.conn.SetWriteDeadline(time.Now().Add(writeTimeout / writeTries)) //nolint:forbidigo // Deadlines of connections are wall-clock times.
 		n, err := write()
--- a/internal/wire/http1/slow_test.go
+++ b/internal/wire/http1/slow_test.go
@@ -1,10 +1,12 @@
 package http1_test
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"net"
 	"os"
+	"runtime"
 	"strings"
 	"sync"
 	"testing"
@@ -86,3 +88,32 @@
 	t.Parallel()
 	require.Empty(t, answerSlowCaller(t, 0, "body"))
 }
+
+// Guards against copies of long answers that are held, beside the memory reserved for them,
+// until slow callers have read them.
+func TestLongAnswersAreNotCopied(t *testing.T) { //nolint:paralleltest // Measures the heap.
+	const callers, bodyBytes = 16, 8 << 20
+	body := make([]byte, bodyBytes)
+	_, address := startListener(t, func(x *http1.Exchange) {
+		x.Respond(http1.Response{Status: 200, Body: body})
+	}, http1.RequestLimits{})
+	before := heapBytes()
+	for range callers {
+		c := dial(t, address)
+		_, err := io.WriteString(c, get("/1"))
+		require.NoError(t, err)
+		// The rest stays unread: it is longer than the socket buffers.
+		_, err = bufio.NewReaderSize(c, 16).ReadByte()
+		require.NoError(t, err)
+	}
+	require.Less(t, heapBytes()-before, int64(callers*bodyBytes/4))
+}
+
+// heapBytes returns the size of the heap in use.
+func heapBytes() int64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+
+	return int64(stats.HeapAlloc)
+}
