Read the rest of a long response into reserved memory

Cause: the rest of a response that is too long to be held was read only as fast as its caller read, and not before the answers ahead of it on the connection were written. A server that cuts off what stays unread for some seconds then broke a ready answer. Each such response also took 32 KB and more that were not reserved. Change: a goroutine reads the rest ahead while less than half of the memory for responses is in use, 4 KB without any memory. Result.Release closes the rest, so that its memory is given back on every path.

--- a/internal/wire/http1/attempt.go
+++ b/internal/wire/http1/attempt.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -57,8 +56,12 @@
 	held *reservation
 }
 
-// Release gives back the memory of the response, which must not be used any more.
+// Release gives back the memory of the response, which must not be used any more, and closes
+// Response.Rest.
 func (r Result) Release() {
+	if r.Response.Rest != nil {
+		_ = r.Response.Rest.Close()
+	}
 	if r.held != nil {
 		r.held.release()
 	}
@@ -134,7 +137,7 @@
 	}
 	result.Response.Body = buffered
 	if !whole {
-		result.Response.Rest = &streamedBody{body: resp.Body, conn: c, stop: stop}
+		result.Response.Rest = p.newStreamedBody(resp, c, stop)
 
 		return result
 	}
@@ -223,22 +226,3 @@
 
 	return out
 }
-
-// streamedBody is the rest of a response that is too long to be held; its connection is
-// not reused.
-type streamedBody struct {
-	body io.ReadCloser
-	conn *serverConn
-	// stop prevents the end of the request's context from interrupting the connection.
-	stop func() bool
-}
-
-func (r *streamedBody) Read(p []byte) (int, error) {
-	return r.body.Read(p) //nolint:wrapcheck // A reader must return io.EOF as it is.
-}
-
-func (r *streamedBody) Close() error {
-	r.stop()
-
-	return r.conn.raw.Close() //nolint:wrapcheck // Only its presence matters.
-}
--- a/internal/wire/http1/memory.go
+++ b/internal/wire/http1/memory.go
@@ -26,6 +26,19 @@
 	return false
 }
 
+// reserveHalf is like reserve, but leaves at least half of the memory to others.
+func (m *memory) reserveHalf(n int64) bool {
+	if !m.reserve(n) {
+		return false
+	}
+	if m.used.Load() <= m.limit/2 {
+		return true
+	}
+	m.release(n)
+
+	return false
+}
+
 func (m *memory) release(n int64) {
 	m.used.Add(-n)
 }
