Deliver a long response to a slow caller after its deadline

Cause: the deadline of the request interrupted the reading of a streamed response, so a caller that read slowly got a broken answer although the server had it ready. Change: a response with a stated length is read beyond the deadline until its server sends nothing for 5 s or its caller leaves. One without a stated length may have no end and is still cut off at the deadline; what was read ahead is delivered. Result: TestLongResponseOutlivesTheDeadline failed before.

--- a/internal/wire/http1/attempt.go
+++ b/internal/wire/http1/attempt.go
@@ -79,7 +79,7 @@
 
 // Do sends a request to a server and reads its response. It never sends a request twice.
 // It fails when ctx ends. The caller must close Response.Rest; reading from it fails when
-// ctx ends, too. The caller must also call Result.Release when it no longer needs the
+// ctx is canceled, and without a stated length also at the deadline of ctx. The caller must also call Result.Release when it no longer needs the
 // response.
 func (p *Pool) Do(ctx context.Context, to Target, r *Request) Result {
 	// A late response to another request cannot be told apart without an identifier.
@@ -137,7 +137,7 @@
 	}
 	result.Response.Body = buffered
 	if !whole {
-		result.Response.Rest = p.newStreamedBody(resp, c, stop)
+		result.Response.Rest = p.newStreamedBody(ctx, resp, c, stop)
 
 		return result
 	}
--- a/internal/wire/http1/stream.go
+++ b/internal/wire/http1/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -15,6 +16,9 @@
 	streamBuffer = 32 << 10
 	// pieceOverhead is what a piece takes beside its bytes.
 	pieceOverhead = 64
+	// streamSilence is how long a server may send nothing of a response with a stated length
+	// after the deadline of its request.
+	streamSilence = 5 * time.Second
 )
 
 // streamedBody is the rest of a response that is too long to be held; its connection is
@@ -26,6 +30,9 @@
 	memory *memory
 	// stop prevents the end of the request's context from interrupting the connection.
 	stop func() bool
+	// deadline is that of the request, zero if the end of its context interrupts the
+	// connection.
+	deadline time.Time
 	// done is closed when nothing is read ahead any more.
 	done chan struct{}
 
@@ -42,10 +49,20 @@
 	interrupted bool
 }
 
-// newStreamedBody starts to read the rest of a response ahead.
-func (p *Pool) newStreamedBody(resp *http.Response, c *serverConn, stop func() bool) *streamedBody {
+// newStreamedBody starts to read the rest of a response ahead. A response with a stated
+// length is read beyond the deadline of ctx while the server goes on sending: its caller may
+// be the one that is late.
+func (p *Pool) newStreamedBody(ctx context.Context, resp *http.Response, c *serverConn, stop func() bool) *streamedBody {
 	r := &streamedBody{body: resp.Body, conn: c, memory: &p.memory, stop: stop, done: make(chan struct{})}
 	r.changed = sync.NewCond(&r.mu)
+	if deadline, ok := ctx.Deadline(); ok && resp.ContentLength >= 0 && stop() {
+		r.deadline = deadline
+		r.stop = context.AfterFunc(ctx, func() {
+			if errors.Is(ctx.Err(), context.Canceled) {
+				r.interrupt()
+			}
+		})
+	}
 	go r.readAhead()
 
 	return r
@@ -70,7 +87,7 @@
 		size = freeResponseBody
 	}
 	buffer := make([]byte, size)
-	for {
+	for r.extendDeadline() {
 		n, err := r.body.Read(buffer)
 		if !r.add(buffer[:n], err) {
 			return
@@ -78,6 +95,22 @@
 	}
 }
 
+// extendDeadline lets the next read wait for the server until the deadline and for
+// streamSilence at least. It returns false if the connection must not be read.
+func (r *streamedBody) extendDeadline() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.deadline.IsZero() && !r.interrupted {
+		until := time.Now().Add(streamSilence) //nolint:forbidigo // Deadlines of connections are wall-clock times.
+		if r.deadline.After(until) {
+			until = r.deadline
+		}
+		_ = r.conn.raw.SetReadDeadline(until)
+	}
+
+	return !r.interrupted
+}
+
 // add adds a piece that was read. Without memory it waits until the piece is taken. It
 // returns false if nothing must be read any more.
 func (r *streamedBody) add(piece []byte, err error) bool {
--- a/internal/wire/http1/stream_test.go
+++ b/internal/wire/http1/stream_test.go
@@ -102,6 +102,17 @@
 	}
 }
 
+// Guards against a response that is cut off at the deadline because its caller reads slowly.
+func TestLongResponseOutlivesTheDeadline(t *testing.T) {
+	t.Parallel()
+	address, _ := startLongServer(t)
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	result := doLong(ctx, t, http1.NewPool(testNames, testResponseMemory), address)
+	<-ctx.Done()
+	requireWhole(t, result)
+}
+
 // Guards against a response that is read although nobody wants it any more.
 func TestCanceledResponseIsNotReadOn(t *testing.T) {
 	t.Parallel()
