Bound the long bodies in flight at one server

Cause: slots alone decided what a server got, so requests with bodies far longer than the usual ones could come together at one server. A server fails when what it holds exceeds its memory, which it does not tell. Change: a body above 64 KB is sent only while the long bodies in flight from this entry VM to the server fit into what its slots and one more would hold of bodies of twice the service's mean length, 64 KB at least; one is always sent. Otherwise the request goes to another server or waits as for a slot. Shorter bodies are not bounded. The bound is one entry VM's; bodies from others are not known. Result: TestBodies/rare failed before. TestSimulatedLoads is unchanged. In the first run of the tests TestStopTakesNoNewRequests of internal/run/direct failed once (an answer where an error was expected); 10 runs of it alone and a run of the package passed.

--- a/internal/run/direct/serve.go
+++ b/internal/run/direct/serve.go
@@ -99,7 +99,7 @@
 	r.id = p.lastID
 	p.effectChans[r.id] = r.effects
 	p.reduce(steer.RequestArrived{
-		At: steer.At(now), ID: r.id, Route: route, Customer: customer, Object: exchange.Object, Deadline: now + patience,
+		At: steer.At(now), ID: r.id, Route: route, Customer: customer, Object: exchange.Object, BodyBytes: len(exchange.Body), Deadline: now + patience,
 		Fingerprint: xxhash.Sum64String(exchange.Method + exchange.Host + exchange.Target + string(exchange.Body)),
 	})
 	p.mu.Unlock()
--- a/internal/steer/direct/choose.go
+++ b/internal/steer/direct/choose.go
@@ -207,7 +207,7 @@
 func (s *state) candidate(r *request, srv *server, known known, k rank) candidate {
 	slowdown := srv.slowdown(s.now)
 	processing := time.Duration(slowdown * float64(known.typicalTimes[k]))
-	c := candidate{server: srv, hasRoom: s.hasRoom(srv), answerTime: s.roundTrip(srv.Region) + processing}
+	c := candidate{server: srv, hasRoom: s.hasRoom(srv) && s.takesBody(r, srv), answerTime: s.roundTrip(srv.Region) + processing}
 	c.wait = s.waitAt(r, srv, known, c.hasRoom, slowdown)
 	c.inTime = s.fits(r, c.wait+c.answerTime)
 	c.cost = c.wait + c.answerTime + time.Duration(known.slotPrice*float64(processing))
--- a/internal/steer/direct/direct.go
+++ b/internal/steer/direct/direct.go
@@ -113,6 +113,7 @@
 	// a second in a slot.
 	demandRatios map[string]float64
 	slotPrices   map[string]float64
+	bodyLengths  bodyLengths
 	// heldPortions is what the requests of this entry VM take of the slots of a service, in
 	// units of 1/portionsPerSlot.
 	heldPortions map[string]int
@@ -178,6 +179,7 @@
 		demandRatios:   map[string]float64{},
 		roundTrips:     map[string]time.Duration{},
 		slotPrices:     map[string]float64{},
+		bodyLengths:    bodyLengths{},
 		heldPortions:   map[string]int{},
 		ownShares:      map[string]float64{},
 		suspects:       suspects{},
@@ -255,6 +257,7 @@
 		r.objectHash = rendezvous.Mix(xxhash.Sum64String(e.Object) ^ xxhash.Sum64String(e.Route.Host))
 		r.divisionPoint = float64(rendezvous.Mix(r.objectHash)>>11) / (1 << 53)
 	}
+	s.noteBody(r, e.BodyBytes)
 	s.requests[r.id] = r
 	if !r.hasHome() {
 		// No server of any region will ever take it, so it is no demand either.
@@ -379,6 +382,7 @@
 	s.emit(Send{ID: r.id, Server: srv.Server, Deadline: r.deadline, OccupiedSlots: srv.occupied(), SlotLimit: srv.slotLimit()})
 	r.portions = s.slotPortions(r, srv)
 	srv.inFlight++
+	srv.longBodyBytes += r.longBodyBytes
 	srv.ownPortions += r.portions
 	s.heldPortions[r.service] += r.portions
 	r.share = s.shareOf(r)
@@ -447,6 +451,7 @@
 func (s *state) release(r *request, served bool) {
 	if r.currentServer != nil {
 		r.currentServer.inFlight--
+		r.currentServer.longBodyBytes -= r.longBodyBytes
 		r.currentServer.ownPortions -= r.portions
 		s.heldPortions[r.service] -= r.portions
 		s.queue(r.service).end(r, served)
--- a/internal/steer/direct/event.go
+++ b/internal/steer/direct/event.go
@@ -164,6 +164,8 @@
 		// Object names what the request concerns, "" when it is not known. Servers that have
 		// handled an object recently process requests for that object faster.
 		Object string
+		// BodyBytes is the length of the request's body.
+		BodyBytes int
 		// Deadline is when the caller stops waiting.
 		Deadline time.Duration
 		// Fingerprint is equal for requests with the same content.
--- a/internal/steer/direct/request.go
+++ b/internal/steer/direct/request.go
@@ -29,6 +29,8 @@
 	objectHash    uint64
 	divisionPoint float64
 	fingerprint   uint64
+	// longBodyBytes is the length of the body, 0 if it is at most longBody.
+	longBodyBytes int
 	// assignedRegion is the region that the division selects, "" if it selects none.
 	assignedRegion string
 	// triedServers holds the IDs of the servers of all attempts, whether or not the
--- a/internal/steer/direct/script_test.go
+++ b/internal/steer/direct/script_test.go
@@ -34,6 +34,12 @@
 	runScripts(t, "testdata/suspect")
 }
 
+// TestBodies runs the scripts in testdata/bodies, about servers whose memory long bodies fill.
+func TestBodies(t *testing.T) {
+	t.Parallel()
+	runScripts(t, "testdata/bodies")
+}
+
 // runScripts runs each script of a folder with an entry VM of its own.
 func runScripts(t *testing.T, folder string) {
 	t.Helper()
@@ -78,8 +84,8 @@
 		f.now = argDuration(t, d, "at")
 	}
 	at := direct.At(f.now)
-	var id, status, content int
-	for name, v := range map[string]*int{"id": &id, "status": &status, "content": &content} {
+	var id, status, content, body int
+	for name, v := range map[string]*int{"id": &id, "status": &status, "content": &content, "body": &body} {
 		if d.HasArg(name) {
 			d.ScanArgs(t, name, v)
 		}
@@ -99,7 +105,7 @@
 			left = argDuration(t, d, "left")
 		}
 
-		return f.apply(direct.RequestArrived{At: at, ID: direct.RequestID(id), Route: f.route, Deadline: f.now + left, Fingerprint: uint64(content)})
+		return f.apply(direct.RequestArrived{At: at, ID: direct.RequestID(id), Route: f.route, BodyBytes: body, Deadline: f.now + left, Fingerprint: uint64(content)})
 	case "answered", "not-run":
 		outcome := map[string]direct.Outcome{"answered": direct.Answered, "not-run": direct.NotRun}[d.Cmd]
 
@@ -127,6 +133,14 @@
 		return f.apply(direct.PeerReported{At: at, Peer: "other", Report: other.state.Report()})
 	case "reported":
 		return fmt.Sprintf("%d leaving\n", len(f.state.Report().Leaving))
+	case "usual":
+		// Enough requests that their bodies have the mean length.
+		for i := range direct.RequestID(300) {
+			f.apply(direct.RequestArrived{At: at, ID: 1000 + i, Route: f.route, BodyBytes: body, Deadline: f.now + time.Second})
+			f.apply(direct.AttemptEnded{At: at, ID: 1000 + i, Outcome: direct.Answered, Status: 200})
+		}
+
+		return ""
 	case "tick":
 		return f.apply(direct.Tick{At: at})
 	}
--- a/internal/steer/direct/server.go
+++ b/internal/steer/direct/server.go
@@ -65,6 +65,8 @@
 	// of the slots that this entry VM's requests take, peerPortions the part that the
 	// requests of the other entry VMs take, both in units of 1/portionsPerSlot.
 	inFlight, ownPortions, peerPortions int
+	// longBodyBytes is the length of the long bodies in flight from this entry VM.
+	longBodyBytes int
 	// awaited counts the requests that wait for the server, as far as dispatchQueued has
 	// come.
 	awaited int
