Bound the send buffers of callers' connections

Cause: the kernel took up to 4 MB of the answers for each caller that read nothing, and the memory reserved for them was given back: 50 such callers with long answers held 192 MB of socket memory (trial on loopback, 3.9 MB of answer each), on a VM that may have 184 MB. Change: the send buffer is set to 64 KB, so that the rest of an answer stays in reserved memory until its caller reads. When the process ends, less of an unread answer is left to the kernel. Result: TestSendBuffersOfCallersAreBounded failed before.

--- a/internal/wire/http1/caller.go
+++ b/internal/wire/http1/caller.go
@@ -63,6 +63,9 @@
 }
 
 func newCallerConn(l *Listener, raw net.Conn) *callerConn {
+	if bounded, ok := raw.(interface{ SetWriteBuffer(bytes int) error }); ok {
+		_ = bounded.SetWriteBuffer(callerSendBuffer)
+	}
 	limited := &limitedReader{source: raw, remaining: -1}
 
 	return &callerConn{
--- a/internal/wire/http1/slow.go
+++ b/internal/wire/http1/slow.go
@@ -14,6 +14,10 @@
 	// reports room only once a third of the send buffer is free, which a slow caller may not
 	// reach in writeTimeout.
 	writeTries = 4
+	// callerSendBuffer is the size in bytes of a connection's send buffer, of which the kernel
+	// reserves twice as much. By default it grows to 4 MB, which no bound on the memory for
+	// responses would count.
+	callerSendBuffer = 64 << 10
 )
 
 // errCallerStuck means that a caller has taken no byte for writeTimeout.
--- a/internal/wire/http1/slow_test.go
+++ b/internal/wire/http1/slow_test.go
@@ -9,6 +9,7 @@
 	"runtime"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -49,23 +50,30 @@
 	return slowConn{Conn: c, perWrite: l.perWrite}, err //nolint:wrapcheck // The listener's own error.
 }
 
-// answerSlowCaller answers a caller that takes perWrite bytes in the time of each write, and
-// returns what it has received when its connection was closed.
-func answerSlowCaller(t *testing.T, perWrite int, body string) string {
+// serve answers all requests on l with a body and returns its address.
+func serve(t *testing.T, l net.Listener, body []byte) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
 	listener := http1.NewListener(testNames, handlerFunc(func(x *http1.Exchange) {
-		x.Respond(http1.Response{Status: 200, Body: []byte(body)})
+		x.Respond(http1.Response{Status: 200, Body: body})
 	}), func() http1.RequestLimits { return http1.RequestLimits{} }, testBodyMemory)
 	ctx, cancel := context.WithCancel(t.Context())
 	var serving sync.WaitGroup
-	serving.Go(func() { _ = listener.Serve(ctx, slowListener{Listener: l, perWrite: perWrite}) })
+	serving.Go(func() { _ = listener.Serve(ctx, l) })
 	t.Cleanup(func() {
 		cancel()
 		serving.Wait()
 	})
-	c := dial(t, l.Addr().String())
+
+	return l.Addr().String()
+}
+
+// answerSlowCaller answers a caller that takes perWrite bytes in the time of each write, and
+// returns what it has received when its connection was closed.
+func answerSlowCaller(t *testing.T, perWrite int, body string) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	c := dial(t, serve(t, slowListener{Listener: l, perWrite: perWrite}, []byte(body)))
 	_, err = io.WriteString(c, strings.Replace(get("/1"), "\r\n\r\n", "\r\nConnection: close\r\n\r\n", 1))
 	require.NoError(t, err)
 	received, err := io.ReadAll(c)
@@ -89,6 +97,46 @@
 	require.Empty(t, answerSlowCaller(t, 0, "body"))
 }
 
+// capturingListener passes on the connections that it accepts.
+type capturingListener struct {
+	net.Listener
+
+	accepted chan *net.TCPConn
+}
+
+func (l capturingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if tcp, ok := c.(*net.TCPConn); ok {
+		l.accepted <- tcp
+	}
+
+	return c, err //nolint:wrapcheck // The listener's own error.
+}
+
+// Guards against answers that are held in the kernel's buffers, beyond the bound on the memory
+// for responses, while callers do not read.
+func TestSendBuffersOfCallersAreBounded(t *testing.T) {
+	t.Parallel()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	captured := capturingListener{Listener: l, accepted: make(chan *net.TCPConn, 1)}
+	address := serve(t, captured, []byte("body"))
+	c := dial(t, address)
+	_, err = io.WriteString(c, get("/1"))
+	require.NoError(t, err)
+	status, _, _ := readResponse(t, bufio.NewReader(c))
+	require.Equal(t, 200, status)
+	raw, err := (<-captured.accepted).SyscallConn()
+	require.NoError(t, err)
+	size := 0
+	var optErr error
+	require.NoError(t, raw.Control(func(fd uintptr) {
+		size, optErr = syscall.GetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_SNDBUF)
+	}))
+	require.NoError(t, optErr)
+	require.LessOrEqual(t, size, 128<<10)
+}
+
 // Guards against copies of long answers that are held, beside the memory reserved for them,
 // until slow callers have read them.
 func TestLongAnswersAreNotCopied(t *testing.T) { //nolint:paralleltest // Measures the heap.
