--- a/internal/wire/http1/slow_test.go
+++ b/internal/wire/http1/slow_test.go
@@ -3,10 +3,12 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"os"
 	"runtime"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -165,3 +167,54 @@
 
 	return int64(stats.HeapAlloc)
 }
+
+// BenchmarkSlowCallers shows the heap while 400 callers have not read their answers of 256 KB,
+// or of 1 MB, which are streamed.
+func BenchmarkSlowCallers(b *testing.B) {
+	for _, bytes := range []int{200 << 10, 1 << 20} {
+		b.Run(strconv.Itoa(bytes), func(b *testing.B) {
+			for range b.N {
+				benchmarkSlowCallers(b, bytes)
+			}
+		})
+	}
+}
+
+func benchmarkSlowCallers(b *testing.B, bytes int) {
+	b.Helper()
+	const callers = 400
+	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %%s\r\nContent-Length: %d\r\n\r\n", bytes)
+	server := startFaultyServer(b, head, strings.Repeat("x", bytes))
+	p := http1.NewPool(testNames, 28<<20)
+	before := heapBytes()
+	var answered, running sync.WaitGroup
+	answered.Add(callers)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(b, err)
+	listener := http1.NewListener(testNames, handlerFunc(func(x *http1.Exchange) {
+		result := p.Do(b.Context(), http1.Target{Instance: "i", Address: server}, x.Request)
+		answered.Done()
+		x.Respond(result.Response)
+		result.Release()
+	}), func() http1.RequestLimits { return http1.RequestLimits{} }, testBodyMemory)
+	ctx, cancel := context.WithCancel(b.Context())
+	running.Go(func() { _ = listener.Serve(ctx, l) })
+	conns := make([]net.Conn, callers)
+	for i := range conns {
+		conns[i], err = net.Dial("tcp", l.Addr().String())
+		require.NoError(b, err)
+		_, err = io.WriteString(conns[i], get("/1"))
+		require.NoError(b, err)
+	}
+	answered.Wait()
+	for _, c := range conns {
+		_, err = c.Read(make([]byte, 1))
+		require.NoError(b, err)
+	}
+	b.ReportMetric(float64(heapBytes()-before)/(1<<20), "MB-heap")
+	for _, c := range conns {
+		_ = c.Close()
+	}
+	cancel()
+	running.Wait()
+}
