--- a/internal/wire/http1/attempt.go
+++ b/internal/wire/http1/attempt.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -57,8 +56,12 @@
 	held *reservation
 }
 
-// Release gives back the memory of the response, which must not be used any more.
+// Release gives back the memory of the response, which must not be used any more, and closes
+// Response.Rest.
 func (r Result) Release() {
+	if r.Response.Rest != nil {
+		_ = r.Response.Rest.Close()
+	}
 	if r.held != nil {
 		r.held.release()
 	}
@@ -76,7 +79,7 @@
 
 // Do sends a request to a server and reads its response. It never sends a request twice.
 // It fails when ctx ends. The caller must close Response.Rest; reading from it fails when
-// ctx ends, too. The caller must also call Result.Release when it no longer needs the
+// ctx is canceled, and without a stated length also at the deadline of ctx. The caller must also call Result.Release when it no longer needs the
 // response.
 func (p *Pool) Do(ctx context.Context, to Target, r *Request) Result {
 	// A late response to another request cannot be told apart without an identifier.
@@ -134,7 +137,7 @@
 	}
 	result.Response.Body = buffered
 	if !whole {
-		result.Response.Rest = &streamedBody{body: resp.Body, conn: c, stop: stop}
+		result.Response.Rest = p.newStreamedBody(ctx, resp, c, stop)
 
 		return result
 	}
@@ -223,22 +226,3 @@
 
 	return out
 }
-
-// streamedBody is the rest of a response that is too long to be held; its connection is
-// not reused.
-type streamedBody struct {
-	body io.ReadCloser
-	conn *serverConn
-	// stop prevents the end of the request's context from interrupting the connection.
-	stop func() bool
-}
-
-func (r *streamedBody) Read(p []byte) (int, error) {
-	return r.body.Read(p) //nolint:wrapcheck // A reader must return io.EOF as it is.
-}
-
-func (r *streamedBody) Close() error {
-	r.stop()
-
-	return r.conn.raw.Close() //nolint:wrapcheck // Only its presence matters.
-}
--- a/internal/wire/http1/caller.go
+++ b/internal/wire/http1/caller.go
@@ -27,8 +27,6 @@
 	// closed. Closing a connection with unread bytes resets it, and a reset could discard
 	// the last response on its way.
 	lingerTimeout = 500 * time.Millisecond
-	// writeTimeout bounds the writing of a response to a caller that does not read it.
-	writeTimeout = 20 * time.Second
 )
 
 // callerConn is a caller's connection. One goroutine reads the requests. The exchange of
@@ -65,6 +63,9 @@
 }
 
 func newCallerConn(l *Listener, raw net.Conn) *callerConn {
+	if bounded, ok := raw.(interface{ SetWriteBuffer(bytes int) error }); ok {
+		_ = bounded.SetWriteBuffer(callerSendBuffer)
+	}
 	limited := &limitedReader{source: raw, remaining: -1}
 
 	return &callerConn{
