--- a/internal/run/direct/customers.go
+++ b/internal/run/direct/customers.go
@@ -117,10 +117,3 @@
 
 	return intent.Customer{}, &denial{status: http.StatusServiceUnavailable, reason: steer.ReasonStaleKeys, retryAfter: p.retryAfter()}
 }
-
-// takeQuota takes one request from the quota of a customer, and waits up to patience for it.
-// It returns a denial if the customer has used up its quota. giveBack returns the request to
-// the quota; it is called when no backend server has run the request.
-func (p *Process) takeQuota(_ *http1.Exchange, _ intent.Customer, _ time.Duration) (giveBack func(), denied *denial) {
-	return func() {}, nil
-}
--- a/internal/run/direct/entryvm.go
+++ b/internal/run/direct/entryvm.go
@@ -69,6 +69,7 @@
 	// mirrors are the copies of the store's tables, by table name.
 	mirrors map[string]*mirror.Mirror
 	peers   *peers
+	quotas  *quotas
 
 	// ctx ends with the process.
 	ctx context.Context
@@ -120,6 +121,7 @@
 	// Until the first request, the entry VM is idle.
 	p.lastRequestAt.Store(int64(-idleAfter - 1))
 	p.peers = newPeers(p.self)
+	p.quotas = newQuotas(p.self, settings.Quota, clock.Wall(), log)
 	p.listener = http1.NewListener(d.Names(), p, p.callerLimits, settings.MaxBufferedBodyBytes)
 	p.mirrors = map[string]*mirror.Mirror{
 		TableOperatorConfig: mirror.New(d, clock, log, mirror.Options{
@@ -159,6 +161,8 @@
 	p.goroutines.Go(func() { p.pruneConnections(ctx) })
 	p.goroutines.Go(func() { p.reportLoop(ctx) })
 	p.goroutines.Go(func() { p.logStatus(ctx) })
+	p.goroutines.Go(func() { p.tickQuotas(ctx) })
+	p.goroutines.Go(func() { p.holdQuotas(ctx) })
 	select {
 	case <-ctx.Done():
 		return nil
--- a/internal/run/direct/entryvm_test.go
+++ b/internal/run/direct/entryvm_test.go
@@ -45,7 +45,13 @@
 // store's revision, which rises with every change. changedAt holds, for each table, the
 // revision of the table's last change.
 type deployment struct {
-	mu             sync.Mutex
+	mu sync.Mutex
+	// customerLimit is the limit of each customer.
+	customerLimit intent.RateLimit
+	// holder owns the key of the quotas in the era holderEra until holderEnd.
+	holder         string
+	holderEra      uint64
+	holderEnd      time.Time
 	revision       uint64
 	configVersion  uint64
 	routeTimeout   time.Duration
@@ -117,7 +123,7 @@
 	if v.customerKeys != nil {
 		customers, keys := map[string]intent.Customer{}, map[intent.KeyDigest]string{}
 		for key, name := range v.customerKeys {
-			customers[name], keys[intent.DigestKey(key)] = intent.Customer{Name: name}, name
+			customers[name], keys[intent.DigestKey(key)] = intent.Customer{Name: name, Limit: v.customerLimit}, name
 		}
 		current = current.WithCustomers(customers, keys)
 	}
--- a/internal/run/direct/reports.go
+++ b/internal/run/direct/reports.go
@@ -145,7 +145,7 @@
 	p.mu.Lock()
 	load := p.state.Report()
 	p.mu.Unlock()
-	r := gossip.Report{Name: p.self.Name, Ready: p.Ready(), Busy: p.busy.Load(), Idle: p.isIdle(), Tables: p.ownTables(), Load: loadOf(load)}
+	r := gossip.Report{Name: p.self.Name, Ready: p.Ready(), Busy: p.busy.Load(), Idle: p.isIdle(), Tables: p.ownTables(), Load: loadOf(load), QuotaEra: p.quotas.era(now)}
 	p.peers.mu.Lock()
 	relayName, standIn := p.peers.ownElection.RelayAndStandIn(now, p.peers.relayOrders[p.self.Region])
 	relayChanged := relayName != p.peers.currentRelay
@@ -296,6 +296,9 @@
 			d.Tables[table] = withNewerReading(d.Tables[table], t, now-r.receivedAt)
 		}
 		d.Members = append(d.Members, member)
+		if r.QuotaEra > 0 && (d.QuotaHolder == nil || d.QuotaHolder.Era < r.QuotaEra) {
+			d.QuotaHolder = &gossip.QuotaHolder{Name: name, Era: r.QuotaEra}
+		}
 	}
 	for table, t := range d.Tables {
 		// A receiver copies the table from the relay, so it needs the revision of the
@@ -333,6 +336,12 @@
 	if m.Digest != nil {
 		p.receivedDigest(now, *m.Digest, from)
 	}
+	if m.QuotaRequest != nil {
+		p.receivedQuotaRequest(now, *m.QuotaRequest, from)
+	}
+	if m.QuotaGrant != nil {
+		p.receivedQuotaGrant(now, *m.QuotaGrant, from)
+	}
 }
 
 // receivedReport stores the report of an entry VM of the own region, and copies the
@@ -352,6 +361,7 @@
 	if !reporting {
 		p.log.Info("entry VM reports", zap.String("entry", r.Name), zap.Stringer("address", from))
 	}
+	p.heardQuotaHolder(now, r.Name, r.QuotaEra)
 	p.copyNewerTables(r.Tables, from.Addr())
 }
 
@@ -393,6 +403,9 @@
 	if accepted && d.Scope != gossip.ScopeTables {
 		p.apply(steer.PeerReported{At: steer.At(now), Peer: d.Region, Report: load})
 	}
+	if d.QuotaHolder != nil {
+		p.heardQuotaHolder(now, d.QuotaHolder.Name, d.QuotaHolder.Era)
+	}
 	if len(forwardTo) > 0 {
 		p.send(gossip.Message{Digest: &d}, forwardTo)
 	}
--- a/internal/run/direct/serve.go
+++ b/internal/run/direct/serve.go
@@ -87,7 +87,12 @@
 	arrivedAt := p.clock.Now()
 	giveBack, denied := p.takeQuota(exchange, customer, patience)
 	if denied != nil {
-		p.denyCustomer(exchange, customer.Name, *denied, customerFields(customer.Name)...)
+		select {
+		case <-exchange.CallerLeft():
+			exchange.Abort()
+		default:
+			p.denyCustomer(exchange, customer.Name, *denied, customerFields(customer.Name)...)
+		}
 
 		return
 	}
--- a/internal/run/direct/settings.go
+++ b/internal/run/direct/settings.go
@@ -6,6 +6,8 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"net/netip"
 	"time"
 
@@ -98,6 +100,32 @@
 	TableEntryVMs       = "entries"
 )
 
+// Right is a right that at most one entry VM has at a time. It ends TTL after the start of the
+// call that gave or extended it.
+type Right struct {
+	// Lease is the store's number of the right.
+	Lease uint64
+	// Era numbers the rights in the order in which they were given. It is the revision of the
+	// store from which on the right exists.
+	Era uint64
+	TTL time.Duration
+	// FromEarlierProcess is true if an earlier process of this VM had the right before.
+	FromEarlierProcess bool
+}
+
+// ErrRightLost means that a right has ended.
+var ErrRightLost = errors.New("right has ended")
+
+// HeldError means that another entry VM has a right.
+type HeldError struct {
+	Name string
+	Era  uint64
+}
+
+func (e *HeldError) Error() string {
+	return fmt.Sprintf("%s has the right of era %d", e.Name, e.Era)
+}
+
 // Deployment is the interface to the platform on which the entry VM runs: its store,
 // the formats of the documents in it, and its header names.
 type Deployment interface {
@@ -120,6 +148,14 @@
 	// Withdraw deletes the entry VM's own item. It fails when the store does not confirm
 	// the deletion.
 	Withdraw(ctx context.Context, vm EntryVM) error
+	// TakeQuota makes this entry VM the holder of the quotas if there is none, or if the holder
+	// was an earlier process of this VM. It fails with a HeldError if there is another holder.
+	TakeQuota(ctx context.Context, vm EntryVM) (Right, error)
+	// RenewRight extends a right by its TTL from the arrival of the call. It fails with
+	// ErrRightLost when the right has ended.
+	RenewRight(ctx context.Context, right Right) error
+	// ReleaseRight ends a right at once.
+	ReleaseRight(ctx context.Context, right Right) error
 	// Names returns the names of the headers that the platform uses.
 	Names() http1.Names
 }
--- a/internal/run/direct/tables.go
+++ b/internal/run/direct/tables.go
@@ -23,6 +23,7 @@
 	}
 	p.configurationApplied(snapshot.Revision)
 	if isNewer {
+		p.quotas.setLimits(p.clock.Now(), config.Intent)
 		p.apply(steer.IntentChanged{At: p.eventTime(), Intent: config.Intent})
 		p.log.Info("configuration in force", zap.Uint64("version", config.Intent.Version), zap.Uint64("revision", snapshot.Revision))
 	}
--- a/internal/run/metrics/metrics.go
+++ b/internal/run/metrics/metrics.go
@@ -70,6 +70,12 @@
 	m.counter("customer-requests/" + customer).Inc(1)
 }
 
+// QuotaWait adds the time for which a request of a customer waited for its quota, in
+// microseconds, to a histogram. Customers are labelled as by CustomerRequest.
+func (m *Metrics) QuotaWait(customer string, took time.Duration) {
+	m.histogram("quota-wait-us/" + m.customerLabel(customer)).Update(took.Microseconds())
+}
+
 // customerLabel returns the name under which a customer is counted.
 func (m *Metrics) customerLabel(customer string) string {
 	m.mu.RLock()
--- a/internal/steer/direct/event.go
+++ b/internal/steer/direct/event.go
@@ -269,6 +269,10 @@
 	ReasonUnknownKey Reason = "unknown-key"
 	// ReasonStaleKeys: the copy of the configuration is too old to say whether the key holds.
 	ReasonStaleKeys Reason = "stale-keys"
+	// ReasonOverQuota: the customer asks for more than its limit at all entry VMs together.
+	ReasonOverQuota Reason = "over-quota"
+	// ReasonNoQuota: the entry VM has no share of the customer's limit, and got none in time.
+	ReasonNoQuota Reason = "no-quota"
 )
 
 // Effect is an output of Reduce that the runtime carries out.
--- a/internal/steer/quota/ledger.go
+++ b/internal/steer/quota/ledger.go
@@ -99,6 +99,11 @@
 
 func (a At) when() time.Duration { return time.Duration(a) }
 
+// TimeOf returns the time of an event.
+func TimeOf(ev Event) At {
+	return At(ev.when())
+}
+
 // Events of a Ledger.
 type (
 	// RightGained says that this entry VM is the holder until End.
--- a/internal/steer/quota/shares.go
+++ b/internal/steer/quota/shares.go
@@ -149,7 +149,10 @@
 // Effects of Shares.
 type (
 	// Admit lets a request pass.
-	Admit struct{ ID RequestID }
+	Admit struct {
+		ID RequestID
+		At time.Duration
+	}
 	// Refuse refuses a request.
 	Refuse struct {
 		ID RequestID
@@ -249,7 +252,7 @@
 	u.arrived++
 	u.fill(now)
 	if len(u.waiting) == 0 && u.take() {
-		return []Effect{Admit{ID: e.ID}}
+		return []Effect{Admit{ID: e.ID, At: now}}
 	}
 	if u.shortage == OverLimit && now-u.shortageAt < shortageTTL {
 		return []Effect{u.refusal(e.ID, true)}
@@ -286,14 +289,14 @@
 	u.fill(now)
 	u.level = min(u.level+float64(One), float64(u.usable().Depth))
 
-	return u.serve()
+	return u.serve(now)
 }
 
 // serve admits waiting requests in their order while there are tokens.
-func (u *usage) serve() []Effect {
+func (u *usage) serve(now time.Duration) []Effect {
 	var effects []Effect
 	for len(u.waiting) > 0 && u.take() {
-		effects = append(effects, Admit{ID: u.waiting[0].id})
+		effects = append(effects, Admit{ID: u.waiting[0].id, At: now})
 		u.waiting = u.waiting[1:]
 	}
 
@@ -365,10 +368,10 @@
 	var effects []Effect
 	// Tokens that no request waits for any more are lost: they are not part of the share.
 	for ; tokens > 0 && len(u.waiting) > 0; tokens-- {
-		effects = append(effects, Admit{ID: u.waiting[0].id})
+		effects = append(effects, Admit{ID: u.waiting[0].id, At: now})
 		u.waiting = u.waiting[1:]
 	}
-	effects = append(effects, u.serve()...)
+	effects = append(effects, u.serve(now)...)
 	if g.Shortage == OverLimit {
 		for _, w := range u.waiting {
 			effects = append(effects, u.refusal(w.id, true))
@@ -398,7 +401,7 @@
 		}
 		if len(u.waiting) > 0 {
 			u.fill(now)
-			effects = append(effects, u.serve()...)
+			effects = append(effects, u.serve(now)...)
 			effects = append(effects, u.expire(now)...)
 		}
 		if u.arrived == 0 && Amount(u.demand) < minDemand && len(u.waiting) == 0 && now >= u.share.end {
--- a/internal/wire/gossip/gossip.go
+++ b/internal/wire/gossip/gossip.go
@@ -43,11 +43,12 @@
 // expected.
 var errCopyTooLong = errors.New("copy is too long or malformed")
 
-// Message is the content of a datagram between entry VMs: either a report or a digest. The
-// other field is nil.
+// Message is the content of a datagram between entry VMs. All fields but one are nil.
 type Message struct {
-	Report *Report `cbor:"1,keyasint,omitempty"`
-	Digest *Digest `cbor:"2,keyasint,omitempty"`
+	Report       *Report       `cbor:"1,keyasint,omitempty"`
+	Digest       *Digest       `cbor:"2,keyasint,omitempty"`
+	QuotaRequest *QuotaRequest `cbor:"3,keyasint,omitempty"`
+	QuotaGrant   *QuotaGrant   `cbor:"4,keyasint,omitempty"`
 }
 
 // Load is the load that one entry VM, or all entry VMs of a region, put on the backend
@@ -87,6 +88,9 @@
 	Busy bool `cbor:"6,keyasint,omitempty"`
 	// Idle is true when no caller has sent the sender a request recently.
 	Idle bool `cbor:"7,keyasint,omitempty"`
+	// QuotaEra is the era of the sender's right as the holder of the quotas, or 0 if it is not
+	// the holder.
+	QuotaEra uint64 `cbor:"8,keyasint,omitempty"`
 }
 
 // Digest is the summary of a region. The relay of the region sends it to the region's entry
@@ -101,6 +105,8 @@
 	Members []Member              `cbor:"5,keyasint,omitempty"`
 	// Scope says which of the fields Load and Members are left out.
 	Scope Scope `cbor:"6,keyasint,omitempty"`
+	// QuotaHolder is the entry VM among the reports that is the holder of the quotas, if any.
+	QuotaHolder *QuotaHolder `cbor:"7,keyasint,omitempty"`
 }
 
 // Scope is how much of a digest is sent. Entry VMs without callers need less.
