Keep the limits of customers over all entry VMs

What a window allows of the tolerance becomes rate, because a customer that asks for 1.4 times its configured rate is still within it.

--- a/internal/run/direct/entryvm.go
+++ b/internal/run/direct/entryvm.go
@@ -267,6 +267,7 @@
 // logStatus logs the reducer's view of services and routes at intervals until ctx ends.
 func (p *Process) logStatus(ctx context.Context) {
 	for range p.clock.Subscribe(ctx, statusInterval) {
+		p.quotas.logStatus()
 		p.mu.Lock()
 		services, routes := p.state.ServiceStatuses(), p.state.RouteStatuses()
 		p.mu.Unlock()
--- a/internal/run/direct/quota.go
+++ b/internal/run/direct/quota.go
@@ -41,6 +41,8 @@
 	mu     sync.Mutex
 	shares *quota.Shares
 	ledger *quota.Ledger
+	// names holds the customers with limits.
+	names map[quota.Key]string
 	// limited is true while the configuration has customers with limits.
 	limited bool
 	// outcomes deliver the effects to the requests that wait.
@@ -50,9 +52,14 @@
 	// that a customer is over its limit, by name.
 	holder       string
 	overLoggedAt map[string]time.Duration
+	// gainedAt is when the own right was gained, listReadAt when the list of entry VMs was
+	// last read for it.
+	gainedAt, listReadAt time.Duration
 	// listedEra is the era in which the ledger was told the entry VMs in listedNames.
 	listedEra   uint64
 	listedNames []string
+	// openedEra is the last era in which new shares were given.
+	openedEra uint64
 	// claimed is true when another entry VM takes this one for the holder.
 	claimed bool
 }
@@ -90,10 +97,11 @@
 
 // setLimits applies the limits of a configuration.
 func (q *quotas) setLimits(now time.Duration, current *intent.Intent) {
-	limits := map[quota.Key]quota.Limit{}
+	limits, names := map[quota.Key]quota.Limit{}, map[quota.Key]string{}
 	for name, customer := range current.Customers() {
 		if q.isLimited(customer) {
-			limits[quota.KeyOf(name)] = quota.EffectiveLimit(customer.Limit, q.tolerance)
+			key := quota.KeyOf(name)
+			limits[key], names[key] = quota.EffectiveLimit(customer.Limit, q.tolerance), name
 		}
 	}
 	q.mu.Lock()
@@ -101,12 +109,38 @@
 	if len(limits) == 0 && !q.limited {
 		return
 	}
-	q.limited = len(limits) > 0
+	q.limited, q.names = len(limits) > 0, names
 	changed := quota.LimitsChanged{At: quota.At(now), Limits: limits}
 	q.shares.Reduce(changed)
 	q.ledger.Reduce(changed)
 }
 
+// logStatus logs the customers that are over their limits. Only the holder knows them.
+func (q *quotas) logStatus() {
+	q.mu.Lock()
+	statuses, names := q.ledger.OverLimit(), q.names
+	q.mu.Unlock()
+	for _, s := range statuses {
+		q.log.Info("quota status", zap.String("customer", names[s.Key]), zap.Float64("demand", s.Demand.Requests()), zap.Float64("limit", s.Limit.Rate.Requests()),
+			zap.Float64("depth", s.Limit.Depth.Requests()), zap.Float64("shared", s.Shares.Rate.Requests()), zap.Int("entries", s.EntryVMs))
+	}
+}
+
+// logOpened logs that this entry VM, as the holder, begins to give new shares.
+func (q *quotas) logOpened(now time.Duration) {
+	q.mu.Lock()
+	era, held := q.ledger.Era(now)
+	opened, reporters := q.ledger.Opened()
+	isNew := held && opened && q.openedEra != era
+	if isNew {
+		q.openedEra = era
+	}
+	q.mu.Unlock()
+	if isNew {
+		q.log.Info("quotas are handed out", zap.Uint64("era", era), zap.Int("reported", reporters))
+	}
+}
+
 // era returns the era of the own right as the holder, or 0 if there is none now.
 func (q *quotas) era(now time.Duration) uint64 {
 	q.mu.Lock()
@@ -304,9 +338,10 @@
 		tick := quota.Tick{At: quota.At(now)}
 		if era := p.quotas.era(now); era > 0 {
 			p.sendQuota(p.quotas.useShares(quota.HolderHeard{At: tick.At, Holder: p.self.Name, Era: era}))
-			p.listQuotaUsers(now, era)
+			p.listQuotaUsers(ctx, now, era)
 		}
 		p.sendQuota(p.quotas.useLedger(tick))
+		p.quotas.logOpened(now)
 		p.sendQuota(p.quotas.useShares(tick))
 	}
 }
--- a/internal/run/direct/quota_holder.go
+++ b/internal/run/direct/quota_holder.go
@@ -16,8 +16,9 @@
 	// rightCheckInterval is the interval at which an entry VM checks whether it should try to
 	// become the holder of the quotas, or renew its right.
 	rightCheckInterval = 100 * time.Millisecond
-	// rightRenewInterval leaves time for three retries before the right ends.
-	rightRenewInterval = time.Second
+	// rightRenewDivisor divides the TTL of a right: it is renewed that often, which leaves time
+	// for retries before it ends.
+	rightRenewDivisor = 4
 	// rightCallTimeout bounds one call to the store.
 	rightCallTimeout = time.Second
 	// holderSilence is the time without a sign of a holder after which the first entry VM in
@@ -25,6 +26,8 @@
 	// divide the retries, so that they do not grow with the fleet.
 	holderSilence  = time.Second
 	rightRankDelay = 500 * time.Millisecond
+	// listRetryPause is the pause between two reads of the list of entry VMs by a new holder.
+	listRetryPause = 300 * time.Millisecond
 	// quotaRankKey orders entry VMs of equal strength.
 	quotaRankKey = "quota"
 )
@@ -51,14 +54,14 @@
 		}
 		switch {
 		case held && now >= renewAt:
-			renewAt = now + rightRenewInterval
+			renewAt = now + right.TTL/rightRenewDivisor
 			if !p.renewQuotas(ctx, right) {
 				right = Right{}
 			}
 		case !held && p.shouldTakeQuotas(now, triedAt, tried):
 			triedAt, tried = now, true
 			right = p.takeQuotas(ctx)
-			renewAt = now + rightRenewInterval
+			renewAt = now + right.TTL/rightRenewDivisor
 		}
 	}
 }
@@ -134,10 +137,12 @@
 	if right.FromEarlierProcess {
 		opensAt = quota.ShareTTL
 	}
+	p.quotas.mu.Lock()
+	p.quotas.gainedAt = now
+	p.quotas.mu.Unlock()
 	p.sendQuota(p.quotas.useLedger(quota.RightGained{At: quota.At(now), Era: right.Era, End: start + right.TTL, OpensAt: opensAt}))
 	p.log.Info("holder of the quotas", zap.Uint64("era", right.Era), zap.Duration("took", now-start))
 	// The list must be newer than the right.
-	p.goroutines.Go(func() { p.mirrors[TableEntryVMs].Read(ctx) })
 	p.reportNow()
 
 	return right
@@ -175,11 +180,22 @@
 	p.reportNow()
 }
 
-// listQuotaUsers tells the ledger which entry VMs may hold shares, once the list is newer
-// than the right of the era.
-func (p *Process) listQuotaUsers(now time.Duration, era uint64) {
-	revision, ok := p.mirrors[TableEntryVMs].Revision()
-	if !ok || revision < era {
+// listQuotaUsers tells the ledger which entry VMs may hold shares. It reads the list until
+// there is one that is newer than the right of the era.
+func (p *Process) listQuotaUsers(ctx context.Context, now time.Duration, era uint64) {
+	age, read := p.mirrors[TableEntryVMs].OwnReadAge()
+	p.quotas.mu.Lock()
+	gainedAt, known := p.quotas.gainedAt, p.quotas.listedEra == era
+	due := !known && now-p.quotas.listReadAt >= listRetryPause
+	if due {
+		p.quotas.listReadAt = now
+	}
+	p.quotas.mu.Unlock()
+	if !known && (!read || now-age < gainedAt) {
+		if due {
+			p.goroutines.Go(func() { p.mirrors[TableEntryVMs].Read(ctx) })
+		}
+
 		return
 	}
 	p.peers.mu.Lock()
--- a/internal/steer/quota/ledger.go
+++ b/internal/steer/quota/ledger.go
@@ -168,6 +168,12 @@
 	return l.era, l.era > 0 && now < l.rightEnd
 }
 
+// Opened reports whether the shares of all earlier holders are known or have ended, so that
+// new ones can be given, and how many entry VMs have reported theirs.
+func (l *Ledger) Opened() (opened bool, reporters int) {
+	return l.opened, len(l.reporters)
+}
+
 // Reduce applies an event and returns the effects.
 func (l *Ledger) Reduce(ev Event) []Effect {
 	now := ev.when()
@@ -443,3 +449,25 @@
 
 // maxTokens bounds the tokens of one answer.
 const maxTokens = 100_000
+
+// Status is what the holder knows about a customer whose callers ask for more than its limit.
+type Status struct {
+	Key Key
+	// Demand is the rate for which callers ask, Limit what all entry VMs together may use, and
+	// Shares the part of it that entry VMs use by themselves.
+	Demand        Amount
+	Limit, Shares Limit
+	EntryVMs      int
+}
+
+// OverLimit returns the status of each customer that is over its limit.
+func (l *Ledger) OverLimit() []Status {
+	var statuses []Status
+	for key, a := range l.accounts {
+		if l.opened && a.isOverLimit() {
+			statuses = append(statuses, Status{Key: key, Demand: Amount(a.load), Limit: a.limit, Shares: a.committed(), EntryVMs: len(a.demand)})
+		}
+	}
+
+	return statuses
+}
--- a/internal/steer/quota/quota.go
+++ b/internal/steer/quota/quota.go
@@ -70,8 +70,14 @@
 	ShareTTL = 5 * time.Second
 	// maxSettleTime bounds the part of a window that is kept for tokens under way.
 	// settleDivisor is that part's divisor for short windows.
-	maxSettleTime = 500 * time.Millisecond
-	settleDivisor = 10
+	maxSettleTime = 250 * time.Millisecond
+	settleDivisor = 20
+	// The depth of a limit is spreadDepth, so that each of a few entry VMs can hold a whole token,
+	// and depthPerRoot for the square root of the rate, which is how much the requests of a
+	// second vary; it is at most maxDepthPart of what a window allows.
+	spreadDepth  = 20
+	depthPerRoot = 2
+	maxDepthPart = 0.5
 	// returnPart is the part of the settle time for tokens that are given back.
 	returnPart = 5
 )
@@ -92,20 +98,18 @@
 }
 
 // EffectiveLimit returns the rate and the depth with which a configured limit is kept within
-// the tolerance. The rate is the configured one if the overage makes up for tokens under way;
-// what the rate does not use of the tolerance becomes depth, because a limit that is spread
-// over many entry VMs needs whole tokens at each.
+// the tolerance. What a window allows becomes rate, as far as varying requests do not need a
+// depth: a customer may send the same in each window, and what is within its limit should not
+// be refused.
 func EffectiveLimit(limit intent.RateLimit, t Tolerance) Limit {
-	window, settled := t.Window.Seconds(), (t.Window + t.settleTime()).Seconds()
-	total := (limit.PerSecond*window+limit.Burst)*(1+t.Overage) + t.Allowance
-	if !(total >= 1) || window <= 0 {
+	total := (limit.PerSecond*t.Window.Seconds()+limit.Burst)*(1+t.Overage) + t.Allowance
+	if !(total >= 1) || t.Window <= 0 {
 		return Limit{}
 	}
-	rate := min(limit.PerSecond, limit.PerSecond*(1+t.Overage)*window/settled)
 	// A bucket that holds less than a whole token admits nothing.
-	rate = min(rate, (total-1)/settled)
+	depth := max(min(spreadDepth+depthPerRoot*math.Sqrt(limit.PerSecond), maxDepthPart*total), 1)
 
-	return Limit{Rate: amountOf(rate), Depth: amountOf(total - rate*settled)}
+	return Limit{Rate: amountOf((total - depth) / (t.Window + t.settleTime()).Seconds()), Depth: amountOf(depth)}
 }
 
 // amountOf returns a number of requests as an Amount, rounded down.
@@ -113,6 +117,11 @@
 	return Amount(math.Floor(min(max(n, 0)*float64(One), maxAmount)))
 }
 
+// Requests returns the Amount as a number of requests.
+func (a Amount) Requests() float64 {
+	return float64(a) / float64(One)
+}
+
 // inSeconds returns what an Amount per second comes to in a time.
 func (a Amount) inSeconds(d time.Duration) float64 {
 	return float64(a) * max(d, 0).Seconds()
