steer/quota: deeper buckets, and small limits stay at the holder

Cause: a quarter of the requests of 80 customers waited for the holder, because the depth that is shared was less than two tokens an entry VM.

Change: the depth is 20 and four times the root of the rate, the centre keeps up to three quarters of a rate, demands are stated every 1.5 s, and a customer counts as over its limit only beyond the variance of a second. Effects come in the order of the keys, so that runs repeat.

--- a/internal/steer/quota/calm_test.go
+++ b/internal/steer/quota/calm_test.go
@@ -17,7 +17,7 @@
 	activeVMs = 12
 	patience  = 400 * time.Millisecond
 	warmUp    = 3 * time.Second
-	dayEnd    = 33 * time.Second
+	dayEnd    = 123 * time.Second
 )
 
 // regionDelay is the time one way between two regions.
--- a/internal/steer/quota/division.go
+++ b/internal/steer/quota/division.go
@@ -14,13 +14,13 @@
 	// The centre keeps this part of a rate, more the fewer requests a second come to each
 	// entry VM, because the tokens of a share that its callers do not use are lost.
 	minCentrePart = 0.1
-	maxCentrePart = 0.6
+	maxCentrePart = 0.75
 	// From relaxedLoad of the limit on, the part falls: when the whole limit is asked for, no
 	// share loses tokens, and the centre needs only minBusyCentrePart, or more if entry VMs get
 	// few requests. busyDivisor divides the number of entry VMs for that.
 	minBusyCentrePart = 0.03
 	relaxedLoad       = 0.7
-	busyDivisor       = 4
+	busyDivisor       = 2
 	// centreDepthPart is the least part of a depth that the centre keeps.
 	centreDepthPart = 0.25
 	// loadTime is the time over which the sum of the demands is averaged.
@@ -58,9 +58,12 @@
 	a.load += weight * (float64(a.totalDemand()) - a.load)
 }
 
-// isOverLimit reports whether the callers ask for more than the limit.
+// isOverLimit reports whether the callers ask for more than the limit, by more than the
+// requests of a second vary.
 func (a *account) isOverLimit() bool {
-	return a.load > float64(a.limit.Rate)
+	rate := a.limit.Rate.Requests()
+
+	return a.load/float64(One) > rate+math.Sqrt(rate)
 }
 
 // targetShare returns the share that an entry VM should have: its part of the limit by
--- a/internal/steer/quota/ledger.go
+++ b/internal/steer/quota/ledger.go
@@ -6,7 +6,7 @@
 
 const (
 	// demandTTL is how long a demand that an entry VM has stated counts.
-	demandTTL = 3 * time.Second
+	demandTTL = 5 * time.Second
 	// announceInterval is the interval at which a new holder announces itself to the entry
 	// VMs that have not told it yet what they hold.
 	announceInterval = 250 * time.Millisecond
--- a/internal/steer/quota/quota.go
+++ b/internal/steer/quota/quota.go
@@ -76,7 +76,7 @@
 	// and depthPerRoot for the square root of the rate, which is how much the requests of a
 	// second vary; it is at most maxDepthPart of what a window allows.
 	spreadDepth  = 20
-	depthPerRoot = 2
+	depthPerRoot = 4
 	maxDepthPart = 0.5
 	// returnPart is the part of the settle time for tokens that are given back.
 	returnPart = 5
--- a/internal/steer/quota/shares.go
+++ b/internal/steer/quota/shares.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -18,7 +19,7 @@
 	minDemand = One / 50
 	// statementInterval is how long a demand that the holder was told may be old. A demand
 	// that changes by restatePart and by restateDemand is stated earlier.
-	statementInterval = time.Second
+	statementInterval = 1500 * time.Millisecond
 	restatePart       = 0.3
 	restateDemand     = One / 2
 	// askInterval is the shortest time between two requests for tokens.
@@ -395,19 +396,26 @@
 	if measure {
 		s.demandAt = now
 	}
+	var waiting []Key
 	for key, u := range s.customers {
 		if measure {
 			u.measureDemand(elapsed)
 		}
 		if len(u.waiting) > 0 {
-			u.fill(now)
-			effects = append(effects, u.serve(now)...)
-			effects = append(effects, u.expire(now)...)
+			waiting = append(waiting, key)
 		}
 		if u.arrived == 0 && Amount(u.demand) < minDemand && len(u.waiting) == 0 && now >= u.share.end {
 			delete(s.customers, key)
 		}
 	}
+	// Effects must follow from the events alone.
+	slices.Sort(waiting)
+	for _, key := range waiting {
+		u := s.customers[key]
+		u.fill(now)
+		effects = append(effects, u.serve(now)...)
+		effects = append(effects, u.expire(now)...)
+	}
 	for sequence, at := range s.sentAt {
 		if now-at >= ShareTTL {
 			delete(s.sentAt, sequence)
@@ -466,6 +474,7 @@
 	if len(asks) == 0 && (!full || !due) {
 		return nil
 	}
+	slices.SortFunc(asks, func(a, b Ask) int { return cmp.Compare(a.Key, b.Key) })
 	s.lastAskAt = now
 	s.sequence++
 	s.sentAt[s.sequence] = now
