Refill the buckets of shares before they are empty

Cause: nine of ten requests of a customer with three requests a second over twelve entry VMs, and one of five of one with thirty, waited for the holder's answer, 70 ms from another region.

Change: an entry VM whose bucket is empty asks for a refill before the next request comes. A limit with less than two tokens for each entry VM gives each one token without a rate. A depth grows only with tokens of the centre, because refills are under way to others meanwhile.

--- a/internal/run/direct/quota.go
+++ b/internal/run/direct/quota.go
@@ -390,7 +390,7 @@
 	m := &gossip.QuotaRequest{Name: r.Name, Incarnation: r.Incarnation, Era: r.Era, Sequence: r.Sequence, Full: r.Full}
 	for _, a := range r.Asks {
 		m.Asks = append(m.Asks, gossip.QuotaAsk{
-			Key: uint64(a.Key), Demand: uint64(a.Demand), Waiting: a.Waiting, Serial: a.Serial, Rate: uint64(a.Rate), Depth: uint64(a.Depth),
+			Key: uint64(a.Key), Demand: uint64(a.Demand), Waiting: a.Waiting, Serial: a.Serial, Rate: uint64(a.Rate), Depth: uint64(a.Depth), Missing: uint64(a.Missing),
 		})
 	}
 
@@ -402,7 +402,7 @@
 	r := quota.Request{Name: m.Name, Incarnation: m.Incarnation, Era: m.Era, Sequence: m.Sequence, Full: m.Full}
 	for _, a := range m.Asks {
 		r.Asks = append(r.Asks, quota.Ask{
-			Key: quota.Key(a.Key), Demand: quota.Clamp(a.Demand), Waiting: a.Waiting, Serial: a.Serial, Rate: quota.Clamp(a.Rate), Depth: quota.Clamp(a.Depth),
+			Key: quota.Key(a.Key), Demand: quota.Clamp(a.Demand), Waiting: a.Waiting, Serial: a.Serial, Rate: quota.Clamp(a.Rate), Depth: quota.Clamp(a.Depth), Missing: quota.Clamp(a.Missing),
 		})
 	}
 
--- a/internal/steer/quota/division.go
+++ b/internal/steer/quota/division.go
@@ -22,9 +22,11 @@
 	relaxedLoad       = 0.7
 	busyDivisor       = 2
 	// centreDepthPart is the least part of a depth that the centre keeps.
-	centreDepthPart = 0.25
+	centreDepthPart = 0.35
 	// loadTime is the time over which the sum of the demands is averaged.
 	loadTime = 2 * time.Second
+	// shrinkPart is the part of a depth from which on it is not made smaller.
+	shrinkPart = 0.4
 	// changePart is the least relative change of a share that is worth an exchange of
 	// messages.
 	changePart = 0.15
@@ -69,7 +71,7 @@
 // targetShare returns the share that an entry VM should have: its part of the limit by
 // max-min fairness among the demands. A share that holds less than one token is none.
 func (a *account) targetShare(name string) Limit {
-	if a.limit.Rate == 0 || a.demand[name].rate == 0 {
+	if a.limit.Rate == 0 || a.demand[name].rate < minDemand {
 		return Limit{}
 	}
 	part := a.centrePart()
@@ -80,10 +82,12 @@
 	own := headroom * float64(a.demand[name].rate)
 	most := maxMin(wants, (1-part)*float64(a.limit.Rate))
 	rate := min(own, most)
-	depthToShare := (1 - max(part, centreDepthPart)) * float64(a.limit.Depth)
+	depthToShare := (1 - centreDepthPart) * float64(a.limit.Depth)
 	depth := depthToShare * rate / ((1 - part) * float64(a.limit.Rate))
-	if depth < float64(One) && depthToShare >= float64(len(wants))*float64(One) {
-		depth = float64(One)
+	// Where there are few tokens for each entry VM, each gets one, and the next from the centre:
+	// what fills into a bucket of one token is mostly lost.
+	if each := depthToShare / float64(len(wants)); each < 2*float64(One) && each >= float64(One) {
+		return Limit{Depth: One}
 	}
 	if depth < float64(One) {
 		return Limit{}
@@ -114,14 +118,20 @@
 		return s.offered
 	}
 	target, centre := a.targetShare(name), l.centre(a)
+	// A depth grows only with tokens of the centre: else tokens that are under way to other
+	// entry VMs would come on top of those that the new depth can hold.
 	next := Limit{
 		Rate:  min(target.Rate, s.offered.Rate+centre.Rate),
-		Depth: min(target.Depth, s.offered.Depth+centre.Depth),
+		Depth: min(target.Depth, s.offered.Depth+min(centre.Depth, Amount(a.level))),
 	}
-	if next.Depth < One || next.Rate == 0 {
+	if next.Depth < One {
 		next = Limit{}
 	}
-	// A centre without anything left means that shares must shrink.
+	// The tokens of a depth that shrinks are lost, so it shrinks only by much. A centre without
+	// anything left means that shares must shrink.
+	if centre.Depth > 0 && next.Depth < s.offered.Depth && float64(next.Depth) > shrinkPart*float64(s.offered.Depth) {
+		next.Depth = s.offered.Depth
+	}
 	if centre.Rate > 0 && centre.Depth > 0 && isNear(next.Rate, s.offered.Rate) && isNear(next.Depth, s.offered.Depth) {
 		return s.offered
 	}
--- a/internal/steer/quota/ledger.go
+++ b/internal/steer/quota/ledger.go
@@ -424,10 +424,13 @@
 	}
 	if next := l.nextShare(a, name, s); next != s.offered {
 		l.serial++
-		give.Fill = Amount(min(a.level, float64(next.Depth-min(s.committed().Depth, next.Depth))))
-		a.level -= float64(give.Fill)
+		// A depth that grows is taken from the centre with as many tokens.
+		give.Fill = next.Depth - min(s.committed().Depth, next.Depth)
 		s.offered, s.serial = next, l.serial
+	} else if held && ask.Serial == s.serial {
+		give.Fill = min(ask.Missing, s.offered.Depth, Amount(a.level))
 	}
+	a.level -= float64(give.Fill)
 	if s.committed() != (Limit{}) {
 		s.end = now + ShareTTL
 		a.shares[name] = s
--- a/internal/steer/quota/quota.go
+++ b/internal/steer/quota/quota.go
@@ -138,6 +138,8 @@
 	// from the holder's era; then Rate and Depth describe it.
 	Serial      uint32
 	Rate, Depth Amount
+	// Missing is what the bucket of a share from the holder's era could take.
+	Missing Amount
 }
 
 // Request is a message of an entry VM to the holder.
@@ -174,7 +176,7 @@
 	// Serial, Rate and Depth are the share that replaces the entry VM's.
 	Serial      uint32
 	Rate, Depth Amount
-	// Tokens are for waiting requests only, Fill goes to the bucket of a share that grows.
+	// Tokens are for waiting requests only, Fill goes to the bucket of the share.
 	Tokens   uint32
 	Fill     Amount
 	Shortage Shortage
--- a/internal/steer/quota/shares.go
+++ b/internal/steer/quota/shares.go
@@ -75,6 +75,8 @@
 	statedAt time.Duration
 	// confirmDue is true when the holder should learn that the share has changed.
 	confirmDue bool
+	// refillAt is when a refill of the bucket was last asked for.
+	refillAt time.Duration
 	// shortage is what the holder said last, at shortageAt.
 	shortage   Shortage
 	shortageAt time.Duration
@@ -253,7 +255,12 @@
 	u.arrived++
 	u.fill(now)
 	if len(u.waiting) == 0 && u.take() {
-		return []Effect{Admit{ID: e.ID, At: now}}
+		admit := []Effect{Admit{ID: e.ID, At: now}}
+		if u.needsRefill(now) {
+			return append(admit, s.ask(now, false)...)
+		}
+
+		return admit
 	}
 	if u.shortage == OverLimit && now-u.shortageAt < shortageTTL {
 		return []Effect{u.refusal(e.ID, true)}
@@ -497,13 +504,15 @@
 	held := u.share.end > now
 	if held && u.share.era == s.era {
 		ask.Serial = u.share.serial
+		ask.Missing = Amount(max(float64(u.usable().Depth)-u.level, 0))
 	} else if held {
 		ask.Rate, ask.Depth = u.share.Rate, u.share.Depth
 	}
 	if ask.Demand < minDemand && ask.Waiting == 0 && !held {
 		return Ask{}, false
 	}
-	if !full && ask.Waiting == 0 && (!due || !u.isStatementDue(now, ask.Demand)) {
+	refill := u.needsRefill(now) && (u.shortage == NoShortage || due)
+	if !full && ask.Waiting == 0 && !refill && (!due || !u.isStatementDue(now, ask.Demand)) {
 		return Ask{}, false
 	}
 	for i := range u.waiting {
@@ -512,10 +521,22 @@
 		}
 	}
 	u.stated, u.statedAt, u.confirmDue = ask.Demand, now, false
+	if refill {
+		u.refillAt = now
+	}
 
 	return ask, true
 }
 
+// needsRefill reports whether the next request would wait although the share could hold a
+// token, and its rate does not bring one soon.
+func (u *usage) needsRefill(now time.Duration) bool {
+	usable := u.usable()
+
+	return usable.Depth >= One && u.level < float64(One) && now-u.refillAt >= askTimeout &&
+		u.level+usable.Rate.inSeconds(askTimeout) < float64(One)
+}
+
 // isStatementDue reports whether the holder's knowledge of the demand is too old.
 func (u *usage) isStatementDue(now time.Duration, demand Amount) bool {
 	age := now - u.statedAt
--- a/internal/wire/gossip/quota.go
+++ b/internal/wire/gossip/quota.go
@@ -26,6 +26,7 @@
 	Serial  uint32 `cbor:"4,keyasint,omitempty"`
 	Rate    uint64 `cbor:"5,keyasint,omitempty"`
 	Depth   uint64 `cbor:"6,keyasint,omitempty"`
+	Missing uint64 `cbor:"7,keyasint,omitempty"`
 }
 
 // QuotaGrant is the holder's answer to a request. A grant without a sequence only says who
