--- a/internal/run/direct/entryvm.go
+++ b/internal/run/direct/entryvm.go
@@ -73,6 +73,7 @@
 	// mirrors are the copies of the store's tables, by table name.
 	mirrors map[string]*mirror.Mirror
 	peers   *peers
+	quotas  *quotas
 
 	// ctx ends with the process.
 	ctx context.Context
@@ -125,6 +126,7 @@
 	p.lastRequestAt.Store(int64(-idleAfter - 1))
 	strict := settings.RevocationTime > 0
 	p.peers = newPeers(p.self, strict)
+	p.quotas = newQuotas(p.self, settings.Quota, clock.Wall(), log)
 	var marks func() []proof.Mark
 	if strict {
 		marks = p.peers.marks
@@ -169,6 +171,8 @@
 	p.goroutines.Go(func() { p.pruneConnections(ctx) })
 	p.goroutines.Go(func() { p.reportLoop(ctx) })
 	p.goroutines.Go(func() { p.logStatus(ctx) })
+	p.goroutines.Go(func() { p.tickQuotas(ctx) })
+	p.goroutines.Go(func() { p.holdQuotas(ctx) })
 	select {
 	case <-ctx.Done():
 		return nil
@@ -273,6 +277,7 @@
 // logStatus logs the reducer's view of services and routes at intervals until ctx ends.
 func (p *Process) logStatus(ctx context.Context) {
 	for range p.clock.Subscribe(ctx, statusInterval) {
+		p.quotas.logStatus()
 		p.mu.Lock()
 		services, routes := p.state.ServiceStatuses(), p.state.RouteStatuses()
 		p.mu.Unlock()
--- a/internal/run/direct/entryvm_test.go
+++ b/internal/run/direct/entryvm_test.go
@@ -45,8 +45,14 @@
 // store's revision, which rises with every change. changedAt holds, for each table, the
 // revision of the table's last change.
 type deployment struct {
-	mu             sync.Mutex
-	era            uint64
+	mu  sync.Mutex
+	era uint64
+	// customerLimit is the limit of each customer.
+	customerLimit intent.RateLimit
+	// holder owns the key of the quotas in the era holderEra until holderEnd.
+	holder         string
+	holderEra      uint64
+	holderEnd      time.Time
 	revision       uint64
 	configVersion  uint64
 	routeTimeout   time.Duration
@@ -118,7 +124,7 @@
 	if v.customerKeys != nil {
 		customers, keys := map[string]intent.Customer{}, map[intent.KeyDigest]string{}
 		for key, name := range v.customerKeys {
-			customers[name], keys[intent.DigestKey(key)] = intent.Customer{Name: name}, name
+			customers[name], keys[intent.DigestKey(key)] = intent.Customer{Name: name, Limit: v.customerLimit}, name
 		}
 		current = current.WithCustomers(customers, keys)
 	}
@@ -149,6 +155,49 @@
 
 func (v *view) Withdraw(context.Context, direct.EntryVM) error { return nil }
 
+// quotaRightTTL is the TTL of the right to hand out the quotas.
+const quotaRightTTL = time.Second
+
+func (v *view) TakeQuota(_ context.Context, vm direct.EntryVM) (direct.Right, error) {
+	if v.storeUnreachable.Load() {
+		return direct.Right{}, errStoreUnreachable
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	held := v.holder != "" && time.Now().Before(v.holderEnd)
+	if held && v.holder != vm.Name {
+		return direct.Right{}, &direct.HeldError{Name: v.holder, Era: v.holderEra}
+	}
+	v.revision++
+	v.holder, v.holderEra, v.holderEnd = vm.Name, v.revision, time.Now().Add(quotaRightTTL)
+
+	return direct.Right{Lease: v.revision, Era: v.revision, TTL: quotaRightTTL}, nil
+}
+
+func (v *view) RenewRight(_ context.Context, right direct.Right) error {
+	if v.storeUnreachable.Load() {
+		return errStoreUnreachable
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.holderEra != right.Era || time.Now().After(v.holderEnd) {
+		return direct.ErrRightLost
+	}
+	v.holderEnd = time.Now().Add(quotaRightTTL)
+
+	return nil
+}
+
+func (v *view) ReleaseRight(_ context.Context, right direct.Right) error {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.holderEra == right.Era {
+		v.holder = ""
+	}
+
+	return nil
+}
+
 func (v *view) Names() http1.Names { return names }
 
 // server is a backend server that counts the requests that it runs.
@@ -216,6 +265,7 @@
 	settings := direct.Settings{
 		Steering: steer.Settings{Name: "entry-" + ip, Zone: "z1", Region: "r", RetryRatio: 0.2, RetryAllowance: 20, RetryWindow: 10 * time.Second, MaxShift: 0.15},
 		Requests: address, Reports: reportsPort, Tables: reportsPort + 1, LookupTTL: lookupTTL, GracePeriod: time.Second, TableMaxAge: 200 * time.Millisecond, ConfigurationTime: waitTimeout, MaxBufferedBodyBytes: 1 << 20, MaxBufferedResponseBytes: 4 << 20,
+		Quota: direct.QuotaTolerance{Window: 5 * time.Second, Overage: 0.1, Allowance: quotaAllowance},
 	}
 	change(&settings)
 	p, err := direct.New(ctx, settings, v, timer.NewSystem(), zap.New(core), m)
@@ -233,6 +283,9 @@
 	return e
 }
 
+// quotaAllowance is the number of requests by which a customer may exceed its limit.
+const quotaAllowance = 5
+
 // lookupTTL is how long callers may use the result of a lookup.
 const lookupTTL = time.Second
 
