--- a/internal/run/direct/entryvm.go
+++ b/internal/run/direct/entryvm.go
@@ -281,8 +281,7 @@
 				zap.Int("servers", s.ServerCount), zap.Int("usable", s.UsableServers), zap.Int("cold", s.ColdServers),
 				zap.Float64("occupied", s.Occupied), zap.Int("slots", s.Slots), zap.Int("waiting", s.WaitingRequests),
 				zap.Int("waiting-customers", s.WaitingCustomers), zap.Strings("excess", s.ExcessCustomers),
-				zap.Float64("refused-full", s.FullRefusals), zap.Bool("turns", s.TakesTurns), zap.Any("parts", s.RegionShares),
-				zap.Any("demands", s.RegionDemands), zap.Float64("bound", s.RegionBound))
+				zap.Float64("refused-full", s.FullRefusals), zap.Bool("turns", s.TakesTurns), zap.Any("parts", s.RegionShares))
 		}
 		for _, r := range routes {
 			p.log.Info("route status", zap.String("route", r.Route), zap.Duration("first", r.FirstRankTime), zap.Duration("second", r.SecondRankTime),
--- a/internal/run/direct/reports.go
+++ b/internal/run/direct/reports.go
@@ -462,10 +462,10 @@
 
 // loadOf returns the load of a report in the form that is sent.
 func loadOf(r steer.Report) gossip.Load {
-	return gossip.Load{InFlight: r.InFlight, Demand: r.Demand, Suspects: r.Suspects, Lost: r.Lost, Leaving: r.Leaving, Waiting: r.Waiting, Away: r.Away}
+	return gossip.Load{InFlight: r.InFlight, Demand: r.Demand, Suspects: r.Suspects, Lost: r.Lost, Leaving: r.Leaving, Waiting: r.Waiting}
 }
 
 // reportOf returns a received load as a report to the reducer.
 func reportOf(region string, l gossip.Load) steer.Report {
-	return steer.Report{InFlight: l.InFlight, Demand: l.Demand, Suspects: l.Suspects, Lost: l.Lost, Leaving: l.Leaving, Waiting: l.Waiting, Away: l.Away, Region: region}
+	return steer.Report{InFlight: l.InFlight, Demand: l.Demand, Suspects: l.Suspects, Lost: l.Lost, Leaving: l.Leaving, Waiting: l.Waiting, Region: region}
 }
--- a/internal/steer/direct/direct.go
+++ b/internal/steer/direct/direct.go
@@ -272,7 +272,7 @@
 		return
 	}
 	s.retryBudget(r.service).countFirstAttempt(s.now)
-	s.demand(r.service).count(s.residenceTime(r), max(s.typicalTime(r, otherRank)-s.typicalTime(r, firstRank), 0), r.route.Sticky)
+	s.demand(r.service).requestedSlotTime += s.residenceTime(r)
 	s.queue(r.service).countRequest(r)
 	s.admit(r)
 }
--- a/internal/steer/direct/division.go
+++ b/internal/steer/direct/division.go
@@ -2,21 +2,27 @@
 
 import (
 	"math"
+	"slices"
+	"strings"
 	"time"
-)
 
-const (
-	// shareStep is the precision of a share of slots.
-	shareStep = 1.0 / 64
-	// evenTolerance is how many times as large as the demand ratio of all regions the use of a
-	// region's slots may be while the regions count as even: demand varies from moment to
-	// moment, and requests that leave for that would soon return.
-	evenTolerance = 1.15
-	// lowerDigitsFactor shifts those binary digits out of a point that decide whether the own
-	// region serves it.
-	lowerDigitsFactor = 1 << 20
+	"github.com/greengagetally/greengagetally/internal/value/ewma"
 )
 
+// demandAlpha is the weight of one tick in the mean demand. The mean covers about the last
+// two seconds.
+const demandAlpha = 0.06
+
+// demand is the number of slots of one service that the requests of this entry VM's
+// callers need, whether or not they are served.
+type demand struct {
+	// requestedSlotTime is the total time in slots that the requests since the last tick
+	// are expected to take.
+	requestedSlotTime time.Duration
+	// slots is the mean number of slots needed.
+	slots ewma.Mean
+}
+
 // divisionChange returns the share of a region's requests that the division may move in
 // a time: what the spillover leaves of MaxShift.
 func divisionChange(maxShift float64, elapsed time.Duration) float64 {
@@ -28,15 +34,6 @@
 type division struct {
 	// shares holds each region's share of the requests; the shares add up to 1.
 	shares map[string]float64
-	// goal holds the shares that this entry VM would choose alone.
-	goal map[string]float64
-	// joined is true once this entry VM has heard another one of its region, or had demand.
-	joined bool
-	// demands are the slots that the requests of each region's callers need, by which goal was
-	// chosen. bound is the share of a region's slots up to which requests wait no longer than
-	// the network time to another region.
-	demands map[string]float64
-	bound   float64
 }
 
 // moveTowards changes the shares towards goal, by at most maxMoved in all: that share
@@ -72,41 +69,41 @@
 	d.shares = next
 }
 
-// regionAt returns the region that serves the point, a number in [0, 1), among the permitted
-// ones in proportion to their shares. The own region has the first points. The higher digits
-// of a point in the rest decide nothing more: the lower ones decide which other region serves
-// it. So a change of the own share moves points only between the own region and others, and
-// a point that leaves goes to the region where it was when it last left. regionAt returns
-// false when no region is permitted.
+// regionAt returns the region whose interval contains point, a number in [0, 1). The
+// permitted regions divide [0, 1) in proportion to their shares. Their order is fixed,
+// with the own region first, so that a change of the shares moves only the points near
+// the ends of the intervals. regionAt returns false when no region is permitted.
 func (d *division) regionAt(point float64, ownRegion string, permitted func(string) bool) (string, bool) {
-	var others []string
-	ownShare, otherShares := 0.0, 0.0
+	regions := make([]string, 0, len(d.shares))
+	total := 0.0
 	for _, region := range sortedKeys(d.shares) {
-		switch share := d.shares[region]; {
-		case share <= 0 || !permitted(region):
-		case region == ownRegion:
-			ownShare = share
-		default:
-			others = append(others, region)
-			otherShares += share
+		if share := d.shares[region]; share > 0 && permitted(region) {
+			regions = append(regions, region)
+			total += share
 		}
 	}
-	if ownShare > 0 && (len(others) == 0 || point*(ownShare+otherShares) < ownShare) {
-		return ownRegion, true
-	}
-	if len(others) == 0 {
+	if len(regions) == 0 {
 		return "", false
 	}
-	_, lowerDigits := math.Modf(point * lowerDigitsFactor)
-	left := lowerDigits * otherShares
-	for _, region := range others {
-		if left < d.shares[region] {
+	slices.SortFunc(regions, func(a, b string) int {
+		switch {
+		case a == ownRegion:
+			return -1
+		case b == ownRegion:
+			return 1
+		}
+
+		return strings.Compare(a, b)
+	})
+	point *= total
+	for _, region := range regions {
+		if point < d.shares[region] {
 			return region, true
 		}
-		left -= d.shares[region]
+		point -= d.shares[region]
 	}
 
-	return others[len(others)-1], true
+	return regions[len(regions)-1], true
 }
 
 // demandRatio returns the demand of all regions divided by their slots, or 1 if there
@@ -149,41 +146,12 @@
 	return demands
 }
 
-// worthwhileShare returns the share of the slots of a server that can be in use while its
-// requests wait for a slot no longer than the network time to another region. Requests keep
-// to the servers that know their objects, so that each server has its own queue, however
-// many servers of the region have free slots. The wait is that in a queue with several
-// servers (M/M/c, approximation of Sakasegawa).
-func worthwhileShare(slotsPerServer float64, slotTime, networkTime time.Duration) float64 {
-	if slotTime <= 0 || networkTime <= 0 {
-		return 1
-	}
-	n := max(slotsPerServer, 1)
-	exponent := math.Sqrt(2*(n+1)) - 1
-	wait := func(use float64) time.Duration {
-		return time.Duration(float64(slotTime) / n * math.Pow(use, exponent) / (1 - use))
-	}
-	low, high := 0.0, 1.0
-	for high-low > shareStep {
-		if use := (low + high) / 2; wait(use) <= networkTime {
-			low = use
-		} else {
-			high = use
-		}
-	}
-
-	return low
-}
-
-// divide returns the share of the own region's requests that each region should serve. The
-// own region serves the requests that fit into the usableShare of its slots, but not more than
-// worthwhile of them, or into the demand ratio of all regions if that is higher. A region whose
-// use is near that ratio keeps its requests while they fit into the usableShare. The other
-// regions serve the rest, each what fits into its free slots. What fits where it is served at
-// present stays there, because a request that changes its region comes to a server that does
-// not know its object. Without present shares, the others serve the rest in proportion to
-// their free slots. divide returns nil if there are no slots.
-func divide(ownRegion string, demands, slots, present map[string]float64, worthwhile float64) map[string]float64 {
+// divide returns the share of the own region's requests that each region should serve.
+// The own region serves the requests that fit into the usableShare of its slots, or into
+// the demand ratio of all regions if that is higher. The other
+// regions serve the rest in proportion to their free slots. divide returns nil if there
+// are no slots.
+func divide(ownRegion string, demands, slots map[string]float64) map[string]float64 {
 	totalSlots := 0.0
 	for _, n := range slots {
 		totalSlots += n
@@ -192,8 +160,11 @@
 		return nil
 	}
 	ratio := demandRatio(demands, slots)
-	overflow := func(region string) float64 {
-		return demands[region] - slots[region]*max(min(usableShare(slots[region]), max(worthwhile, evenTolerance*ratio)), ratio)
+	limit := func(region string) float64 {
+		return slots[region] * max(usableShare(slots[region]), ratio)
+	}
+	localDemand := func(region string) float64 {
+		return min(demands[region], limit(region))
 	}
 	ownDemand := demands[ownRegion]
 	if ownDemand <= 0 {
@@ -202,44 +173,25 @@
 		}
 		ownDemand = 1
 	}
-	mustLeave := min(max(overflow(ownRegion)/ownDemand, 0), 1)
-	claim, claims := mustLeave*ownDemand, 0.0
-	room := map[string]float64{}
-	totalRoom := 0.0
+	shares := map[string]float64{}
+	freeSlots := 0.0
 	for _, region := range sortedKeys(slots) {
-		switch free := -overflow(region); {
-		case region == ownRegion:
-			claims += claim
-		case free > 0:
-			room[region] = free / ownDemand
-		default:
-			claims -= free
+		if region != ownRegion {
+			freeSlots += max(limit(region)-localDemand(region), 0)
 		}
 	}
-	for _, region := range sortedKeys(room) {
-		room[region] *= claim / max(claims, math.SmallestNonzeroFloat64)
-		totalRoom += room[region]
-	}
-	away := mustLeave
-	if totalRoom <= 0 && mustLeave < 1 {
-		away = 0
+	localShare := min(localDemand(ownRegion)/ownDemand, 1)
+	if freeSlots <= 0 && localShare > 0 {
+		localShare = 1
 	}
-	shares := make(map[string]float64, len(slots))
-	kept := 0.0
-	for _, region := range sortedKeys(room) {
-		if present[region] > 0 {
-			shares[region] = min(present[region]*min(away/max(1-present[ownRegion], present[region]), 1), room[region])
-			kept += shares[region]
-		}
-	}
-	for _, region := range sortedKeys(slots) {
+	for region, n := range slots {
 		switch {
 		case region == ownRegion:
-			shares[region] = 1 - away
-		case totalRoom > kept:
-			shares[region] += (away - kept) * (room[region] - shares[region]) / (totalRoom - kept)
+			shares[region] = localShare
+		case freeSlots > 0:
+			shares[region] = (1 - localShare) * max(limit(region)-localDemand(region), 0) / freeSlots
 		default:
-			shares[region] += (away - kept) * slots[region] / (totalSlots - slots[ownRegion])
+			shares[region] = (1 - localShare) * n / totalSlots
 		}
 	}
 
--- a/internal/steer/direct/event.go
+++ b/internal/steer/direct/event.go
@@ -97,10 +97,7 @@
 	// Waiting holds the Keys of the names of the entry VMs at which requests wait for a slot,
 	// by service.
 	Waiting map[string][]uint32
-	// Away is the part of Demand that other regions should serve, by service and region. It
-	// names no service that the own region should serve alone.
-	Away   map[string]map[string]float64
-	Region string
+	Region  string
 }
 
 // Event is an input of Reduce. All times in events and effects are counted from the
--- a/internal/steer/direct/report.go
+++ b/internal/steer/direct/report.go
@@ -28,11 +28,6 @@
 	}
 	for service, d := range s.demands {
 		r.Demand[service] = d.slots.Value()
-		for region, share := range s.ownGoal(service) {
-			if slots := share * d.slots.Value(); region != s.settings.Region && slots > 0 {
-				addAway(&r, service, region, slots)
-			}
-		}
 	}
 	r.Waiting = map[string][]uint32{}
 	for service, q := range s.queues {
@@ -60,11 +55,6 @@
 		for service, slots := range report.Demand {
 			sum.Demand[service] += slots
 		}
-		for service, byRegion := range report.Away {
-			for region, slots := range byRegion {
-				addAway(&sum, service, region, slots)
-			}
-		}
 	}
 
 	// Most reports name the same servers.
@@ -74,17 +64,6 @@
 	return sum
 }
 
-// addAway adds slots to the part of the demand that a region should serve.
-func addAway(r *Report, service, region string, slots float64) {
-	if r.Away == nil {
-		r.Away = map[string]map[string]float64{}
-	}
-	if r.Away[service] == nil {
-		r.Away[service] = map[string]float64{}
-	}
-	r.Away[service][region] += slots
-}
-
 // Without returns the sum r without ownReport, the report of the entry VM that uses the
 // result. Lost, Leaving and Suspects stay as they are, because that entry VM already knows
 // what its own report says there.
@@ -102,15 +81,6 @@
 			r.Demand[service] = max(sum-slots, 0)
 		}
 	}
-	var others Report
-	for service, byRegion := range r.Away {
-		for region, slots := range byRegion {
-			if left := slots - ownReport.Away[service][region]; left > 0 {
-				addAway(&others, service, region, left)
-			}
-		}
-	}
-	r.Away = others.Away
 
 	return r
 }
--- a/internal/steer/direct/status.go
+++ b/internal/steer/direct/status.go
@@ -32,11 +32,6 @@
 	TakesTurns   bool
 	// RegionShares holds the share of the own region's requests that each region serves.
 	RegionShares map[string]float64
-	// RegionDemands holds the slots that the requests of each region's callers need, for the
-	// own region at its last peak. RegionBound is the share of a region's slots up to which
-	// requests wait no longer than the network time to another region; 1 if that is not known.
-	RegionDemands map[string]float64
-	RegionBound   float64
 }
 
 // RouteStatus summarises the processing times of a route.
@@ -74,7 +69,7 @@
 			status.FullRefusals, status.TakesTurns = f.full.Value(), f.takeTurns
 		}
 		if d, ok := s.divisions[name]; ok {
-			status.RegionShares, status.RegionDemands, status.RegionBound = d.shares, d.demands, d.bound
+			status.RegionShares = d.shares
 		}
 		out = append(out, status)
 	}
--- a/internal/steer/direct/tick.go
+++ b/internal/steer/direct/tick.go
@@ -148,124 +148,25 @@
 func (s *state) updateDivisions(elapsed time.Duration) {
 	for service := range s.byService {
 		d := s.demand(service)
-		d.tick(elapsed)
+		if d.slots.Count() > 0 || d.requestedSlotTime > 0 {
+			d.slots = d.slots.With(float64(d.requestedSlotTime)/float64(elapsed), demandAlpha)
+		}
+		d.requestedSlotTime = 0
 		slots, demands := s.slotsByRegion(service), s.demandByRegion(service, d)
 		s.demandRatios[service] = demandRatio(demands, slots)
 		s.ownShares[service] = s.ownShare(service)
 		s.queue(service).updateDemands(elapsed, s.demandRatios[service])
 		s.slotPrices[service] = slotPrice(s.demandRatios[service], slots)
 		div := getOrCreate(s.divisions, service, func() *division { return &division{} })
-		own := s.settings.Region
-		if demands[own] <= 0 || div.shares == nil {
-			div.shares = divide(own, assumedDemands(slots), slots, nil, 1)
-		}
-		if demands[own] <= 0 {
-			div.joined = div.joined || s.hearsOwnRegion()
+		if demands[s.settings.Region] <= 0 || div.shares == nil {
+			div.shares = divide(s.settings.Region, assumedDemands(slots), slots)
 
 			continue
 		}
-		if !div.joined && d.slots.Count() == 0 {
-			// The first requests of an entry VM that starts go where those of the others go.
-			div.shares = s.regionGoal(service, div.shares)
-		}
-		div.joined = true
-		worthwhile := s.worthwhileShare(service, d)
-		if peak := d.holdPeak(demands[own], elapsed, s.networkTime()); s.demandRatios[service] < worthwhile {
-			demands[own] = peak
-		}
-		div.demands, div.bound = demands, worthwhile
-		if div.goal = divide(own, demands, slots, div.shares, worthwhile); div.goal != nil {
-			div.moveTowards(s.regionGoal(service, div.goal), divisionChange(s.settings.MaxShift, elapsed))
-		}
-	}
-}
-
-// hearsOwnRegion reports whether another entry VM of the own region has reported.
-func (s *state) hearsOwnRegion() bool {
-	for _, p := range s.peers {
-		if p.Region == s.settings.Region {
-			return true
+		if goal := divide(s.settings.Region, demands, slots); goal != nil {
+			div.moveTowards(goal, divisionChange(s.settings.MaxShift, elapsed))
 		}
 	}
-
-	return false
-}
-
-// ownGoal returns the shares of a service's requests that this entry VM would choose alone,
-// nil while it knows none.
-func (s *state) ownGoal(service string) map[string]float64 {
-	if d, ok := s.divisions[service]; ok {
-		return d.goal
-	}
-
-	return nil
-}
-
-// regionGoal returns the mean of the goals of the own region's entry VMs, weighted by their
-// callers' demand; ownGoal is that of this entry VM. They measure different times, and would
-// otherwise send the requests for one object to several regions. While another one still
-// names a region that has no servers, regionGoal returns ownGoal.
-func (s *state) regionGoal(service string, ownGoal map[string]float64) map[string]float64 {
-	own := s.settings.Region
-	var total float64
-	if d := s.demand(service); d.slots.Count() > 0 {
-		total = d.slots.Value()
-	}
-	goal := make(map[string]float64, len(ownGoal))
-	for region, share := range ownGoal {
-		goal[region] = share * total
-	}
-	for _, name := range sortedKeys(s.peers) {
-		p := s.peers[name]
-		if p.Region != own || p.Demand[service] <= 0 {
-			continue
-		}
-		total += p.Demand[service]
-		goal[own] += p.Demand[service]
-		for _, region := range sortedKeys(p.Away[service]) {
-			slots := p.Away[service][region]
-			if _, ok := ownGoal[region]; !ok {
-				return ownGoal
-			}
-			goal[region] += slots
-			goal[own] -= slots
-		}
-	}
-	if total <= 0 || goal[own] < 0 {
-		return ownGoal
-	}
-	for region := range goal {
-		goal[region] /= total
-	}
-
-	return goal
-}
-
-// networkTime returns by how much longer the network time to the nearest other region and back
-// is than to servers of the own region, 0 while it is not known.
-func (s *state) networkTime() time.Duration {
-	own, nearest := s.settings.Region, time.Duration(0)
-	for region, roundTrip := range s.roundTrips {
-		if t := roundTrip - s.roundTrips[own]; region != own && (nearest == 0 || t < nearest) {
-			nearest = t
-		}
-	}
-
-	return max(nearest, 0)
-}
-
-// worthwhileShare returns the share of the slots of a service that can be in use in one
-// region while it is not worth the network time to send requests to another.
-func (s *state) worthwhileShare(service string, d *demand) float64 {
-	if !d.sticky {
-		return 1
-	}
-	slots := 0
-	for _, srv := range s.byService[service] {
-		slots += srv.Slots
-	}
-
-	return worthwhileShare(float64(slots)/float64(max(len(s.byService[service]), 1)), time.Duration(d.requestTime.Value()), s.networkTime())
 }
 
 // slotsByRegion returns the slots of a service in each region. Servers that are
--- a/internal/wire/gossip/gossip.go
+++ b/internal/wire/gossip/gossip.go
@@ -75,8 +75,6 @@
 	Suspects map[uint64][]uint64 `cbor:"6,keyasint,omitempty"`
 	// Waiting holds, by service, the keys of the entry VMs at which requests wait for a slot.
 	Waiting map[string][]uint32 `cbor:"7,keyasint,omitempty"`
-	// Away is, by service and region, the part of Demand that other regions should serve.
-	Away map[string]map[string]float64 `cbor:"8,keyasint,omitempty"`
 }
 
 // Report is what an entry VM tells the relay of its region and the relay's stand-in. The
