Return a token of a quota once only

Cause: a request that is refused after it was admitted gives its token back, and the token could be returned again by the next request. While it is away the bucket fills, so a flood of refused requests makes tokens. Found by the review of the part. Change: a token that was returned is admitted as final; one that does not fit whole is lost.

--- a/internal/run/direct/quota.go
+++ b/internal/run/direct/quota.go
@@ -235,7 +235,7 @@
 		if !ok {
 			return nil
 		}
-		ev = quota.Returned{At: quota.At(now), Key: key, AdmittedAt: admitted.At}
+		ev = quota.Returned{At: quota.At(now), Key: key, Admitted: admitted}
 	default:
 	}
 
@@ -276,7 +276,7 @@
 	switch e := effect.(type) {
 	case quota.Admit:
 		return func() {
-			p.sendQuota(p.quotas.useShares(quota.Returned{At: quota.At(p.clock.Now()), Key: key, AdmittedAt: e.At}))
+			p.sendQuota(p.quotas.useShares(quota.Returned{At: quota.At(p.clock.Now()), Key: key, Admitted: e}))
 		}, nil
 	case quota.Refuse:
 		return nil, p.quotaDenial(customer, e)
--- a/internal/steer/quota/shares.go
+++ b/internal/steer/quota/shares.go
@@ -66,6 +66,8 @@
 	// level is the number of tokens in the share's bucket, in thousandths.
 	level    float64
 	filledAt time.Duration
+	// returned counts the tokens in the bucket that were taken and returned before.
+	returned int
 	waiting  []waiter
 	// arrived counts the requests since the average demand was taken.
 	arrived int
@@ -126,13 +128,13 @@
 		ID  RequestID
 		Key Key
 	}
-	// Returned gives a token back that was admitted at AdmittedAt, because the request has
-	// not run.
+	// Returned gives back the token with which a request was admitted, because the request
+	// has not run.
 	Returned struct {
 		At
 
-		Key        Key
-		AdmittedAt time.Duration
+		Key      Key
+		Admitted Admit
 	}
 	// HolderHeard is a sign of a holder.
 	HolderHeard struct {
@@ -155,6 +157,8 @@
 	Admit struct {
 		ID RequestID
 		At time.Duration
+		// Final is true if the token must not be returned.
+		Final bool
 	}
 	// Refuse refuses a request.
 	Refuse struct {
@@ -232,13 +236,25 @@
 // fill adds what has come into the bucket, and empties it when the share has ended.
 func (u *usage) fill(now time.Duration) {
 	if now >= u.share.end {
-		u.share, u.level = share{}, 0
+		u.share, u.level, u.returned = share{}, 0, 0
 	}
 	usable := u.usable()
 	u.level = min(u.level+usable.Rate.inSeconds(now-u.filledAt), float64(usable.Depth))
 	u.filledAt = max(now, u.filledAt)
 }
 
+// admit admits a request with a token that was taken. A token is returned once only: while
+// it is away the bucket fills, so that one that goes to and fro would be made each time.
+func (u *usage) admit(id RequestID, now time.Duration) Admit {
+	if u.returned > 0 {
+		u.returned--
+
+		return Admit{ID: id, At: now, Final: true}
+	}
+
+	return Admit{ID: id, At: now}
+}
+
 // take takes a token from the bucket.
 func (u *usage) take() bool {
 	if u.level < float64(One) {
@@ -255,7 +271,7 @@
 	u.arrived++
 	u.fill(now)
 	if len(u.waiting) == 0 && u.take() {
-		admit := []Effect{Admit{ID: e.ID, At: now}}
+		admit := []Effect{u.admit(e.ID, now)}
 		if u.needsRefill(now) {
 			return append(admit, s.ask(now, false)...)
 		}
@@ -291,11 +307,16 @@
 // the bucket has filled since then.
 func (s *Shares) returned(now time.Duration, e Returned) []Effect {
 	u, ok := s.customers[e.Key]
-	if !ok || now-e.AdmittedAt > s.tolerance.returnTime() {
+	if !ok || e.Admitted.Final || now-e.Admitted.At > s.tolerance.returnTime() {
 		return nil
 	}
 	u.fill(now)
-	u.level = min(u.level+float64(One), float64(u.usable().Depth))
+	// There is room for the whole token, or it is lost.
+	if u.level+float64(One) > float64(u.usable().Depth) {
+		return nil
+	}
+	u.level += float64(One)
+	u.returned++
 
 	return u.serve(now)
 }
@@ -304,7 +325,7 @@
 func (u *usage) serve(now time.Duration) []Effect {
 	var effects []Effect
 	for len(u.waiting) > 0 && u.take() {
-		effects = append(effects, Admit{ID: u.waiting[0].id, At: now})
+		effects = append(effects, u.admit(u.waiting[0].id, now))
 		u.waiting = u.waiting[1:]
 	}
 
--- a/internal/steer/quota/tokens_test.go
+++ b/internal/steer/quota/tokens_test.go
@@ -102,7 +102,7 @@
 		s, request := asking(t)
 		s.Reduce(quota.Granted{At: quota.At(at), Grant: grantOf(request, 1)})
 		require.Equal(t, 4, arrive(s, at, 4))
-		s.Reduce(quota.Returned{At: quota.At(at + after), Key: customer, AdmittedAt: at})
+		s.Reduce(quota.Returned{At: quota.At(at + after), Key: customer, Admitted: quota.Admit{At: at}})
 		require.Equal(t, want, arrive(s, at+after, 2), "after %s", after)
 	}
 }
--- a/internal/steer/quota/world_test.go
+++ b/internal/steer/quota/world_test.go
@@ -40,8 +40,10 @@
 	storeLatency func(v *vm) (time.Duration, bool)
 	key          storeKey
 	revision     uint64
-	// returnRate is the part of the admitted requests that do not run.
+	// returnRate is the part of the admitted requests that do not run. They are refused after
+	// returnTime, or within 300 ms if it is 0.
 	returnRate float64
+	returnTime time.Duration
 	// admitted holds the times of admitted requests by customer.
 	admitted map[string][]time.Duration
 	outcomes map[string]*outcome
@@ -203,7 +205,7 @@
 	for _, effect := range effects {
 		switch e := effect.(type) {
 		case quota.Admit:
-			w.admit(v, e.ID)
+			w.admit(v, e)
 		case quota.Refuse:
 			r := v.waiting[e.ID]
 			delete(v.waiting, e.ID)
@@ -243,7 +245,8 @@
 	}
 }
 
-func (w *world) admit(v *vm, id quota.RequestID) {
+func (w *world) admit(v *vm, e quota.Admit) {
+	id := e.ID
 	r := v.waiting[id]
 	delete(v.waiting, id)
 	o := w.outcomes[r.customer]
@@ -255,11 +258,15 @@
 		return
 	}
 	// The request is refused later, and has not run.
-	at, incarnation := w.at(v), v.incarnation
-	w.after(w.uniform(300*time.Millisecond), func() {
+	incarnation := v.incarnation
+	refusedAfter := w.returnTime
+	if refusedAfter == 0 {
+		refusedAfter = w.uniform(300 * time.Millisecond)
+	}
+	w.after(refusedAfter, func() {
 		w.do(v, func(now quota.At) {
 			if v.incarnation == incarnation {
-				w.run(v, v.shares.Reduce(quota.Returned{At: now, Key: quota.KeyOf(r.customer), AdmittedAt: time.Duration(at)}))
+				w.run(v, v.shares.Reduce(quota.Returned{At: now, Key: quota.KeyOf(r.customer), Admitted: e}))
 			}
 		})
 	})
