Send callers to an entry VM only once it can prove keys; end a right that another holds

And, found by the review: a holder whose key is gone while its lease lives went on beside the next one; and a VM tried to follow a dead holder only each second. Change: an entry VM with strict revocation is ready once its configuration was proven, and reads the table itself after an eighth of RevocationTime instead of a half; a holder that hears of a later right gives up its own; the pause between two tries is 250 ms a rank.

--- a/internal/run/direct/customers.go
+++ b/internal/run/direct/customers.go
@@ -72,6 +72,20 @@
 	return now - time.Duration(provenAt), true
 }
 
+// hasKnownKeys reports whether this entry VM could tell, since its start, which keys hold. Until
+// then it would refuse all requests with a key.
+func (p *Process) hasKnownKeys(current *intent.Intent) bool {
+	if !current.RequiresKeys() || p.settings.RevocationTime == 0 || p.keysKnown.Load() {
+		return true
+	}
+	_, proven := p.configurationAge(current)
+	if proven {
+		p.keysKnown.Store(true)
+	}
+
+	return proven
+}
+
 // identifyCustomer returns the customer whose key a request carries, and prepares the headers
 // that the backend server gets. It returns a denial if the request must not be served.
 func (p *Process) identifyCustomer(exchange *http1.Exchange, current *intent.Intent, route intent.Route) (intent.Customer, *denial) {
--- a/internal/run/direct/entryvm.go
+++ b/internal/run/direct/entryvm.go
@@ -55,6 +55,9 @@
 	// proofSpread is the part of Settings.RevocationTime over which entry VMs spread the reads
 	// for which no others' readings came.
 	proofSpread = 0.25
+	// firstProofDivisor divides Settings.RevocationTime into the time after which an entry VM
+	// reads for its first proof. Usually the readings of others prove its copy before.
+	firstProofDivisor = 8
 )
 
 // Process is the process of one entry VM.
@@ -85,6 +88,8 @@
 	intent atomic.Pointer[intent.Intent]
 	// inForce is the same configuration with its proof; it follows intent.
 	inForce atomic.Pointer[configurationInForce]
+	// keysKnown is true once a configuration in force was proven.
+	keysKnown atomic.Bool
 	// serverAddresses are the addresses of the listed backend servers, by ID.
 	serverAddresses atomic.Pointer[map[string]string]
 	// stopping is true once a stop was requested.
@@ -194,9 +199,11 @@
 }
 
 // Ready reports whether callers should be sent to this entry VM: it has a configuration
-// and a list of backend servers, and is not stopping.
+// and a list of backend servers, can tell which keys hold, and is not stopping.
 func (p *Process) Ready() bool {
-	return !p.stopping.Load() && p.intent.Load() != nil && p.mirrors[TableServers].Loaded()
+	current := p.intent.Load()
+
+	return !p.stopping.Load() && current != nil && p.mirrors[TableServers].Loaded() && p.hasKnownKeys(current)
 }
 
 // callerLimits returns the limits on callers' requests in the configuration in force.
@@ -334,8 +341,13 @@
 		return false
 	}
 	spread := time.Duration(p.proofRank(table) * proofSpread * float64(limit))
+	due := limit / 2
+	if !p.hasKnownKeys(current) {
+		// Callers may be waiting.
+		due = limit / firstProofDivisor
+	}
 
-	return p.mirrors[table].ProofDue(limit/2+spread, spread)
+	return p.mirrors[table].ProofDue(due+spread, spread)
 }
 
 // provenAgeMillis returns the age of the copy of the operators' configuration that is
--- a/internal/run/direct/keyage_test.go
+++ b/internal/run/direct/keyage_test.go
@@ -14,6 +14,7 @@
 	"github.com/greengagetally/greengagetally/internal/run/mirror"
 	steer "github.com/greengagetally/greengagetally/internal/steer/direct"
 	"github.com/greengagetally/greengagetally/internal/steer/intent"
+	"github.com/greengagetally/greengagetally/internal/value/table"
 	"github.com/greengagetally/greengagetally/internal/wire/http1"
 )
 
@@ -135,3 +136,22 @@
 	_, denied = p.customerOf(p.intent.Load(), "k")
 	require.Equal(t, steer.ReasonUnknownKey, denied.reason)
 }
+
+// Guards against callers that are sent to an entry VM which refuses all keys: after its restart
+// it has copied the configuration, and nothing proves the copy yet.
+func TestNotReadyBeforeAKeyCanBeProven(t *testing.T) {
+	t.Parallel()
+	other, _ := newKeyProcess(t, &keyStore{revision: 1}, 5*time.Second)
+	p, clock := newKeyProcess(t, &keyStore{revision: 1}, 5*time.Second)
+	p.intent.Store(nil)
+	p.inForce.Store(nil)
+	p.mirrors[TableOperatorConfig] = mirror.New(&keyStore{revision: 1}, clock, zap.NewNop(), mirror.Options{OnChange: p.operatorConfigChanged})
+	p.mirrors[TableServers] = other.mirrors[TableOperatorConfig]
+	require.True(t, p.mirrors[TableOperatorConfig].ApplyDelta(other.mirrors[TableOperatorConfig].ChangesSince(table.Version{})))
+	require.NotNil(t, p.intent.Load())
+	require.False(t, p.Ready())
+	p.mirrors[TableOperatorConfig].Read(t.Context())
+	require.True(t, p.Ready())
+	clock.Advance(time.Minute)
+	require.True(t, p.Ready(), "an outage of the store is no reason to send callers away")
+}
--- a/internal/run/direct/quota.go
+++ b/internal/run/direct/quota.go
@@ -350,6 +350,11 @@
 func (p *Process) heardQuotaHolder(now time.Duration, name string, era uint64) {
 	if era > 0 && name != p.self.Name && p.quotas.takesPart() {
 		p.sendQuota(p.quotas.useShares(quota.HolderHeard{At: quota.At(now), Holder: name, Era: era}))
+		if own := p.quotas.era(now); own > 0 && own < era {
+			// The key was lost although its lease lives.
+			p.log.Warn("another entry VM holds the quotas", zap.String("holder", name), zap.Uint64("era", era), zap.Uint64("own-era", own))
+			p.sendQuota(p.quotas.useLedger(quota.RightLost{At: quota.At(now)}))
+		}
 	}
 }
 
--- a/internal/run/direct/quota_holder.go
+++ b/internal/run/direct/quota_holder.go
@@ -26,6 +26,9 @@
 	// divide the retries, so that they do not grow with the fleet.
 	holderSilence  = time.Second
 	rightRankDelay = 500 * time.Millisecond
+	// rightRetryPause is the pause of the first in rank between two tries, while the right of
+	// the holder before has not ended.
+	rightRetryPause = 250 * time.Millisecond
 	// listRetryPause is the pause between two reads of the list of entry VMs by a new holder.
 	listRetryPause = 300 * time.Millisecond
 	// quotaRankKey orders entry VMs of equal strength.
@@ -86,7 +89,7 @@
 		return now >= rankDelay
 	}
 
-	return now-max(heardAt, triedAt) > holderSilence+rankDelay
+	return now-heardAt > holderSilence+rankDelay && now-triedAt > rightRetryPause+rankDelay
 }
 
 // quotaRank returns the number of entry VMs that should try to become the holder before this
