--- a/internal/run/direct/keyage_test.go
+++ b/internal/run/direct/keyage_test.go
@@ -14,6 +14,7 @@
 	"github.com/greengagetally/greengagetally/internal/run/mirror"
 	steer "github.com/greengagetally/greengagetally/internal/steer/direct"
 	"github.com/greengagetally/greengagetally/internal/steer/intent"
+	"github.com/greengagetally/greengagetally/internal/steer/proof"
 	"github.com/greengagetally/greengagetally/internal/value/table"
 	"github.com/greengagetally/greengagetally/internal/wire/http1"
 )
@@ -145,7 +146,9 @@
 	p, clock := newKeyProcess(t, &keyStore{revision: 1}, 5*time.Second)
 	p.intent.Store(nil)
 	p.inForce.Store(nil)
-	p.mirrors[TableOperatorConfig] = mirror.New(&keyStore{revision: 1}, clock, zap.NewNop(), mirror.Options{OnChange: p.operatorConfigChanged})
+	p.mirrors[TableOperatorConfig] = mirror.New(&keyStore{revision: 1}, clock, zap.NewNop(), mirror.Options{
+		OnChange: p.operatorConfigChanged, Marks: func() []proof.Mark { return nil },
+	})
 	p.mirrors[TableServers] = other.mirrors[TableOperatorConfig]
 	require.True(t, p.mirrors[TableOperatorConfig].ApplyDelta(other.mirrors[TableOperatorConfig].ChangesSince(table.Version{})))
 	require.NotNil(t, p.intent.Load())
