Keep the queue short for all customers while none is in excess

Cause: part of the fair shares: a standing queue was kept short only for customers in excess. Change: the exception holds only while some customer is in excess.

--- a/internal/steer/direct/customer.go
+++ b/internal/steer/direct/customer.go
@@ -90,10 +90,10 @@
 	d.requested += r.share.Length
 }
 
-// isExcessive reports whether the customer of a request is in excess. Without customers
-// all are.
-func (q *queue) isExcessive(r *request) bool {
-	if !q.isFair {
+// keepsQueue reports whether the customer of a request keeps the queue from emptying: those in
+// excess do. While none is, and without customers, all do together.
+func (q *queue) keepsQueue(r *request) bool {
+	if !q.hasExcess {
 		return true
 	}
 	d, ok := q.demands[customerKey{r.share.Class, r.share.Customer}]
@@ -116,8 +116,11 @@
 		demands = append(demands, fair.Demand{Class: key.class, Customer: key.customer, Weight: d.weight, Amount: d.slots.Value()})
 	}
 	shares := fair.Divide(demands, max(demandRatio, 1))
+	q.hasExcess = false
 	for i, d := range demands {
-		q.demands[customerKey{d.Class, d.Customer}].isExcessive = d.Amount > excessFactor*shares[i]
+		isExcessive := d.Amount > excessFactor*shares[i]
+		q.demands[customerKey{d.Class, d.Customer}].isExcessive = isExcessive
+		q.hasExcess = q.hasExcess || isExcessive
 	}
 }
 
--- a/internal/steer/direct/queue.go
+++ b/internal/steer/direct/queue.go
@@ -25,6 +25,8 @@
 	arrivingOrder []*request
 	// demands holds what the requests of each customer need.
 	demands map[customerKey]*customerDemand
+	// hasExcess is true while some customer is in excess.
+	hasExcess bool
 }
 
 func newQueue(isFair bool) *queue {
--- a/internal/steer/direct/wait.go
+++ b/internal/steer/direct/wait.go
@@ -62,12 +62,13 @@
 }
 
 // isStanding reports whether the queue of a request's service has not been empty for longer
-// than the request could wait when it arrived. If customers share the slots, the queue
-// stands only for those in excess: the others do not keep it from emptying.
+// than the request could wait when it arrived. If customers share the slots and some ask
+// for far more than their share, the queue stands only for those: the others do not keep it
+// from emptying.
 func (s *state) isStanding(r *request) bool {
 	q := s.queue(r.service)
 
-	return len(q.waiting) > 0 && s.now-q.busySince > r.deadline-r.arrivedAt-r.answerTime && q.isExcessive(r)
+	return len(q.waiting) > 0 && s.now-q.busySince > r.deadline-r.arrivedAt-r.answerTime && q.keepsQueue(r)
 }
 
 // dispatchQueued sends each queued request of a service that a server takes now, and gives
