--- a/internal/run/direct/proof_internal_test.go
+++ b/internal/run/direct/proof_internal_test.go
@@ -46,6 +46,7 @@
 		}
 		p.intent.Store(current)
 		m.Read(t.Context())
+		p.configurationApplied(m.Snapshot().Version())
 
 		return p
 	}
