steer/direct: hedges in the reducer, off without a share

Cause: a few slow servers make single answers far later than the rest, and the caller waits for the one server that has its request. Change: a request that may be repeated is sent to a second server once its first attempt has lasted longer than the 95th percentile of its route and rank, if the operators' share (Settings.HedgeShares), the retry budget, max_attempts, free slots and the share of late attempts of the service allow it. The first complete answer wins; Cancel ends the other attempt, whose slot is free at once. A request holds its attempts in flight as a list. No runtime carries hedges out yet.

--- a/internal/steer/direct/attempt.go
+++ b/internal/steer/direct/attempt.go
@@ -16,19 +16,32 @@
 // attemptEnded records the outcome of an attempt and responds, retries or gives up.
 func (s *state) attemptEnded(e AttemptEnded) {
 	r, ok := s.requests[e.ID]
-	if !ok || r.currentServer == nil {
+	if !ok {
+		return
+	}
+	a, ok := s.releaseAttempt(r, e.Hedge)
+	if !ok {
 		return
 	}
-	srv := r.currentServer
-	s.release(r)
 	defer s.dispatchFreed(r.service)
-	s.recordOutcome(r, srv, e)
+	s.recordOutcome(r, a, e)
 	if e.Outcome != NotSent {
 		r.attempts++
 	}
 	// After NotRun and NotSent the request has surely not run in this attempt: the server
 	// said so or received nothing.
 	r.mayHaveRun = r.mayHaveRun || e.Outcome == Unknown || e.Outcome == Answered
+	if len(r.inFlight) > 0 {
+		if e.Outcome == Answered && e.Status < minServerErrorStatus {
+			s.cancelOthers(r)
+		} else {
+			// The other server may still answer.
+			r.hasErrorResponse = r.hasErrorResponse || e.Outcome == Answered
+			r.wasShed = r.wasShed || e.Outcome == NotRun
+
+			return
+		}
+	}
 	switch {
 	case e.Outcome == Answered && (e.Status < minServerErrorStatus || !r.route.Idempotent || e.Status == statusGatewayTimeout):
 		s.forget(r)
@@ -86,19 +99,20 @@
 	}
 }
 
-// takeRetry takes a retry from the budget of the service. It returns false if the
+// takeRetry takes a retry from the budget of the service. It returns false if a part of the
 // budget is used up.
-func (s *state) takeRetry(r *request) bool {
+func (s *state) takeRetry(r *request, part float64) bool {
 	n := float64(max(len(s.entryVMNames), 1))
 
-	return s.retryBudget(r.service).allowRetry(s.now, s.settings.RetryRatio, s.settings.RetryAllowance/n)
+	return s.retryBudget(r.service).allowRetry(s.now, part*s.settings.RetryRatio, part*s.settings.RetryAllowance/n)
 }
 
 // recordOutcome updates what is known about the server, the route and the request's
 // content.
-func (s *state) recordOutcome(r *request, srv *server, e AttemptEnded) {
+func (s *state) recordOutcome(r *request, a attempt, e AttemptEnded) {
+	srv := a.server
 	if e.Outcome == Answered || e.Outcome == Unknown {
-		s.residenceTimes[r.route.Name] = s.residenceTimes[r.route.Name].With(float64(max(s.now-r.sentAt-s.roundTrip(srv.Region), 0)), residenceAlpha)
+		s.residenceTimes[r.route.Name] = s.residenceTimes[r.route.Name].With(float64(max(s.now-a.sentAt-s.roundTrip(srv.Region), 0)), residenceAlpha)
 	}
 	if e.DialTook > 0 {
 		if old, ok := s.roundTrips[srv.Region]; !ok || e.DialTook < old {
@@ -137,24 +151,25 @@
 	case e.Outcome == Answered:
 		srv.recordSuccess()
 		// A request that was sent before the pause says nothing about what the server takes now.
-		srv.needsTrial = srv.needsTrial && r.sentAt < srv.pausedUntil
-		s.recordProcessingTime(r, srv)
+		srv.needsTrial = srv.needsTrial && a.sentAt < srv.pausedUntil
+		s.recordProcessingTime(r, a)
 	}
 }
 
 // recordProcessingTime compares the time of a response with the typical time of its
 // route and rank. Then it updates the typical time.
-func (s *state) recordProcessingTime(r *request, srv *server) {
-	k := otherRank
-	if r.route.Sticky {
-		k = s.rankOf(r, srv)
-	}
-	took := max(s.now-r.sentAt-s.roundTrip(srv.Region), 0)
+func (s *state) recordProcessingTime(r *request, a attempt) {
+	srv, k := a.server, s.timesRank(r, a.server)
+	took := max(s.now-a.sentAt-s.roundTrip(srv.Region), 0)
 	if typicalTime := s.typicalTime(r, k); typicalTime > 0 {
 		srv.measuredSlowdown = srv.measuredSlowdown.With(min(float64(took)/float64(typicalTime), maxSlowdownSample), slowdownAlpha)
 	}
 	times := s.typicalTimes(r)
 	times.byRank[k] = times.byRank[k].With(float64(took), typicalPercentile, typicalStep)
+	times.lateByRank[k] = times.lateByRank[k].With(float64(took), latePercentile, lateStep)
+	if h := s.hedgesOf(r.service); h != nil && a.lateAt > 0 {
+		h.recordLate(s.now > a.lateAt)
+	}
 }
 
 // extendCold prolongs the cold time of a server if the server says how long it stays
--- a/internal/steer/direct/budget.go
+++ b/internal/steer/direct/budget.go
@@ -49,9 +49,9 @@
 	b.firstAttempts[b.advance(now)]++
 }
 
-// allowRetry reports whether a retry is within the budget, and counts the retry if so.
-// In the oldest bucket only the retries count, not the first attempts.
-func (b *retryBudget) allowRetry(now time.Duration, ratio, allowance float64) bool {
+// fits reports whether another retry is within ratio x first attempts + allowance. In the
+// oldest bucket only the retries count, not the first attempts.
+func (b *retryBudget) fits(now time.Duration, ratio, allowance float64) bool {
 	bucket := b.advance(now)
 	firstAttempts, retries := 0.0, 0.0
 	for i := range countedBuckets {
@@ -60,10 +60,22 @@
 			firstAttempts += b.firstAttempts[i]
 		}
 	}
-	if retries+1 > ratioShare*ratio*firstAttempts+allowanceShare*allowance {
+
+	return retries+1 <= ratio*firstAttempts+allowance
+}
+
+// allowRetry reports whether a retry is within the budget that the entry VMs use of a ratio
+// and an allowance, and counts the retry if so.
+func (b *retryBudget) allowRetry(now time.Duration, ratio, allowance float64) bool {
+	if !b.fits(now, ratioShare*ratio, allowanceShare*allowance) {
 		return false
 	}
-	b.retries[bucket]++
+	b.countRetry(now)
 
 	return true
 }
+
+// countRetry counts a retry.
+func (b *retryBudget) countRetry(now time.Duration) {
+	b.retries[b.advance(now)]++
+}
--- a/internal/steer/direct/choose.go
+++ b/internal/steer/direct/choose.go
@@ -39,6 +39,8 @@
 // by the server's rank for the object.
 type typicalTimes struct {
 	byRank [rankCount]ewma.Percentile
+	// lateByRank holds the times after which an attempt is late.
+	lateByRank [rankCount]ewma.Percentile
 	// lastSentAt is when a request of the route was last sent.
 	lastSentAt time.Duration
 }
@@ -281,6 +283,15 @@
 	return s.typicalTimes(r).atRank(k)
 }
 
+// timesRank returns the rank at which the times of a request at a server are measured.
+func (s *state) timesRank(r *request, srv *server) rank {
+	if !r.route.Sticky {
+		return otherRank
+	}
+
+	return s.rankOf(r, srv)
+}
+
 // typicalTimes returns the typical processing times of a request's route.
 func (s *state) typicalTimes(r *request) *typicalTimes {
 	return getOrCreate(s.typicalByRoute, r.route.Name, func() *typicalTimes { return &typicalTimes{} })
--- a/internal/steer/direct/direct.go
+++ b/internal/steer/direct/direct.go
@@ -41,6 +41,8 @@
 	// FaultTime is how long a fault may show its effects after its last sign. MaxShift does
 	// not hold meanwhile.
 	FaultTime time.Duration
+	// HedgeShares bounds the hedges.
+	HedgeShares HedgeShares
 }
 
 const (
@@ -102,6 +104,7 @@
 	requests       map[RequestID]*request
 	queues         map[string]*queue
 	retryBudgets   map[string]*retryBudget
+	hedges         map[string]*hedges
 	demands        map[string]*demand
 	divisions      map[string]*division
 	typicalByRoute map[string]*typicalTimes
@@ -158,6 +161,7 @@
 		requests:       map[RequestID]*request{},
 		queues:         map[string]*queue{},
 		retryBudgets:   map[string]*retryBudget{},
+		hedges:         map[string]*hedges{},
 		demands:        map[string]*demand{},
 		divisions:      map[string]*division{},
 		typicalByRoute: map[string]*typicalTimes{},
@@ -186,6 +190,8 @@
 		s.attemptEnded(e)
 	case HoldExpired:
 		s.holdExpired(e.ID)
+	case HedgeDue:
+		s.hedgeDue(e.ID)
 	case CallerLeft:
 		s.callerLeft(e.ID)
 	case PeerReported:
@@ -254,6 +260,9 @@
 		return
 	}
 	s.retryBudget(r.service).countFirstAttempt(s.now)
+	if h := s.hedgesOf(r.service); h != nil {
+		h.budget.countFirstAttempt(s.now)
+	}
 	s.demand(r.service).requestedSlotTime += s.residenceTime(r)
 	s.admit(r)
 }
@@ -304,7 +313,7 @@
 	switch {
 	case c.server == nil && !s.mayWait(r):
 		s.giveUp(r, reason)
-	case r.attempts > 0 && !s.takeRetry(r):
+	case r.attempts > 0 && !s.takeRetry(r, 1):
 		s.giveUp(r, ReasonRetryBudget)
 	case c.server != nil:
 		s.send(r, c.server)
@@ -355,19 +364,33 @@
 	return ReasonNoCapacity
 }
 
-// send sends a request to a server and counts it in flight there.
+// send sends a request that is at no server to a server.
 func (s *state) send(r *request, srv *server) {
+	s.startAttempt(r, attempt{server: srv, lateAt: s.lateAt(r, srv)}, Late{})
+}
+
+// sendHedge sends a request that is at a server to another one, too.
+func (s *state) sendHedge(r *request, srv *server, late Late) {
+	s.startAttempt(r, attempt{server: srv, hedge: true}, late)
+}
+
+// startAttempt sends a request to a server and counts it in flight there.
+func (s *state) startAttempt(r *request, a attempt, late Late) {
+	srv := a.server
 	if srv.isCold(s.now) {
 		srv.nextColdSendAt = coldSendAfter(s.now, s.ownColdRate(srv))
 	}
-	s.emit(Send{ID: r.id, Server: srv.Server, Deadline: r.deadline, OccupiedSlots: srv.occupied(), SlotLimit: srv.slotLimit()})
-	r.portions = s.slotPortions(r, srv)
+	s.emit(Send{
+		ID: r.id, Server: srv.Server, Deadline: r.deadline, OccupiedSlots: srv.occupied(), SlotLimit: srv.slotLimit(),
+		LateAt: a.lateAt, Hedge: a.hedge, Late: late,
+	})
+	a.sentAt, a.portions = s.now, s.slotPortions(r, srv)
 	srv.inFlight++
-	srv.ownPortions += r.portions
-	s.heldPortions[r.service] += r.portions
+	srv.ownPortions += a.portions
+	s.heldPortions[r.service] += a.portions
 	s.typicalTimes(r).lastSentAt = s.now
 	s.spillover.count(s.now, r.assignedRegion != "" && srv.Region != r.assignedRegion)
-	r.currentServer, r.sentAt = srv, s.now
+	r.inFlight = append(r.inFlight, a)
 	r.triedServers = append(r.triedServers, srv.ID)
 }
 
@@ -401,7 +424,7 @@
 	}
 }
 
-// callerLeft removes a request. The runtime cancels the attempt in flight itself.
+// callerLeft removes a request. The runtime cancels the attempts in flight itself.
 func (s *state) callerLeft(id RequestID) {
 	r, ok := s.requests[id]
 	if !ok {
@@ -424,17 +447,30 @@
 	return max(int(math.Round(portionsPerSlot*float64(processing)/float64(processing+s.roundTrip(srv.Region)))), 1)
 }
 
-// release ends the attempt in flight, if any, and subtracts it from the server's
+// release ends the attempts in flight, if any, and subtracts them from the servers'
 // counts.
 func (s *state) release(r *request) {
-	if r.currentServer != nil {
-		r.currentServer.inFlight--
-		r.currentServer.ownPortions -= r.portions
-		s.heldPortions[r.service] -= r.portions
-		r.currentServer = nil
+	for len(r.inFlight) > 0 {
+		s.releaseAttempt(r, r.inFlight[0].hedge)
 	}
 }
 
+// releaseAttempt ends an attempt in flight and subtracts it from the server's counts. It
+// returns false if there is no such attempt.
+func (s *state) releaseAttempt(r *request, hedge bool) (attempt, bool) {
+	at := slices.IndexFunc(r.inFlight, func(a attempt) bool { return a.hedge == hedge })
+	if at < 0 {
+		return attempt{}, false
+	}
+	a := r.inFlight[at]
+	r.inFlight = slices.Delete(r.inFlight, at, at+1)
+	a.server.inFlight--
+	a.server.ownPortions -= a.portions
+	s.heldPortions[r.service] -= a.portions
+
+	return a, true
+}
+
 func (s *state) queue(service string) *queue {
 	return getOrCreate(s.queues, service, func() *queue { return &queue{} })
 }
--- a/internal/steer/direct/event.go
+++ b/internal/steer/direct/event.go
@@ -176,7 +176,9 @@
 	AttemptEnded struct {
 		At
 
-		ID      RequestID
+		ID RequestID
+		// Hedge tells the attempt of a hedge, as in Send, from the other one.
+		Hedge   bool
 		Outcome Outcome
 		// Status is the HTTP status of the response, if there is one.
 		Status int
@@ -195,6 +197,12 @@
 		// DialTook is how long it took to open a new connection; 0 when none was opened.
 		DialTook time.Duration
 	}
+	// HedgeDue says that an attempt has lasted until Send.LateAt.
+	HedgeDue struct {
+		At
+
+		ID RequestID
+	}
 	// CallerLeft ends a request whose caller has closed its connection.
 	CallerLeft struct {
 		At
@@ -288,6 +296,17 @@
 		// queuePerServer for requests that wait at the server. Both are logged.
 		OccupiedSlots float64
 		SlotLimit     int
+		// LateAt is when HedgeDue is due if the attempt lasts until then; 0 if it is not.
+		LateAt time.Duration
+		// Hedge is true for a second attempt while the first goes on. Late says why it is sent.
+		Hedge bool
+		Late  Late
+	}
+	// Cancel ends an attempt, because another has been answered. The runtime reports no
+	// AttemptEnded for it.
+	Cancel struct {
+		ID    RequestID
+		Hedge bool
 	}
 	// Hold keeps a request waiting until another effect names the same ID. HoldExpired is
 	// due at Until.
@@ -332,6 +351,7 @@
 )
 
 func (Send) effect()           {}
+func (Cancel) effect()         {}
 func (Hold) effect()           {}
 func (Refuse) effect()         {}
 func (ReturnResponse) effect() {}
--- a/internal/steer/direct/request.go
+++ b/internal/steer/direct/request.go
@@ -30,12 +30,8 @@
 	triedServers []string
 	// attempts counts the attempts that may have reached a server.
 	attempts int
-	// currentServer is the server of the attempt in flight, nil if there is none.
-	currentServer *server
-	sentAt        time.Duration
-	// portions is what the request takes of a slot of the current server, in units of
-	// 1/portionsPerSlot.
-	portions int
+	// inFlight holds the attempts in flight: at most one, or one and a hedge.
+	inFlight []attempt
 	// hasErrorResponse is true when a complete response with a server error is available
 	// for the caller.
 	hasErrorResponse bool
@@ -53,6 +49,19 @@
 	mayHaveRun       bool
 }
 
+// attempt is an attempt in flight.
+type attempt struct {
+	server *server
+	// hedge is true for an attempt that began while another was in flight.
+	hedge  bool
+	sentAt time.Duration
+	// lateAt is when the attempt is late, 0 if it was late already or gets no hedge.
+	lateAt time.Duration
+	// portions is what the request takes of a slot of the server, in units of
+	// 1/portionsPerSlot.
+	portions int
+}
+
 // permits reports whether the servers of a region may get the request: the homes of the
 // route and those of the customer both bind.
 func (r *request) permits(region string) bool {
