steer/direct: simulated loads, scripts and a limit test for hedges

Cause: nothing showed what hedges cut and cost, nor that they keep their limit. Change: simulated servers end a run when its attempt is cancelled; testdata/hedged has loads with slow servers, long work, overload and a slowdown of all servers, played with hedges, without, and with -v with copies at once, tied copies and probing. testdata/hedge has scripts of single decisions. The rounding of the limit follows from the names of service and entry VM, so that a share without hedges changes no other decision. max_attempts is asked once, when the first attempt begins.

--- a/internal/steer/direct/direct.go
+++ b/internal/steer/direct/direct.go
@@ -245,7 +245,7 @@
 	r.objectHash = s.random.Uint64()
 	if e.Route.Sticky && e.Object != "" {
 		r.objectHash = rendezvous.Mix(xxhash.Sum64String(e.Object) ^ xxhash.Sum64String(e.Route.Host))
-		r.divisionPoint = float64(rendezvous.Mix(r.objectHash)>>11) / (1 << 53)
+		r.divisionPoint = fraction(rendezvous.Mix(r.objectHash))
 	}
 	s.requests[r.id] = r
 	if !r.hasHome() {
@@ -267,6 +267,11 @@
 	s.admit(r)
 }
 
+// fraction returns a point in [0, 1) for a hash.
+func fraction(hash uint64) float64 {
+	return float64(hash>>11) / (1 << 53)
+}
+
 // nextPoint returns the point in [0, 1) after another one in a sequence whose points are
 // spread evenly in any stretch of it.
 func nextPoint(point float64) float64 {
--- a/internal/steer/direct/hedge.go
+++ b/internal/steer/direct/hedge.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/greengagetally/greengagetally/internal/value/rendezvous"
 )
 
 // This file decides when a request that may be repeated is sent to a second server while the
@@ -74,7 +76,7 @@
 	}
 
 	return getOrCreate(s.hedges, service, func() *hedges {
-		return &hedges{budget: retryBudget{bucketWidth: hedgeWindow / budgetBuckets}, roundUp: s.random.Float64()}
+		return &hedges{budget: retryBudget{bucketWidth: hedgeWindow / budgetBuckets}, roundUp: fraction(rendezvous.Weight(service, s.settings.Name))}
 	})
 }
 
@@ -137,8 +139,8 @@
 	_, isStopping := s.answerBy.Get()
 	waiting := s.queues[r.service] != nil && len(s.queues[r.service].waiting) > 0
 
-	return !isStopping && !waiting && r.attempts+len(r.inFlight) < r.route.MaxAttempts && h.lateShare < maxLateShare &&
-		s.slotPrices[r.service] <= maxHedgePrice && s.suspects[r.fingerprint].lossesAt(s.now) == 0
+	return !isStopping && !waiting && h.lateShare < maxLateShare && s.slotPrices[r.service] <= maxHedgePrice &&
+		s.suspects[r.fingerprint].lossesAt(s.now) == 0
 }
 
 // hedgeServer returns the server for a hedge, nil if none is good enough: a hedge does not
--- a/internal/steer/direct/script_test.go
+++ b/internal/steer/direct/script_test.go
@@ -34,6 +34,12 @@
 	runScripts(t, "testdata/suspect")
 }
 
+// TestHedges runs the scripts in testdata/hedge, about second attempts for late requests.
+func TestHedges(t *testing.T) {
+	t.Parallel()
+	runScripts(t, "testdata/hedge")
+}
+
 // runScripts runs each script of a folder with an entry VM of its own.
 func runScripts(t *testing.T, folder string) {
 	t.Helper()
@@ -50,11 +56,13 @@
 
 // scriptFixture is one entry VM of the region r.
 type scriptFixture struct {
-	state direct.State
-	route intent.Route
-	now   time.Duration
+	settings direct.Settings
+	state    direct.State
+	route    intent.Route
+	now      time.Duration
 	// sent holds the server of each request's last attempt.
-	sent map[direct.RequestID]string
+	sent        map[direct.RequestID]string
+	lastLearned direct.RequestID
 }
 
 func newScriptFixture() *scriptFixture {
@@ -63,7 +71,8 @@
 		Name: "route", Host: "h", Prefix: "/", Target: time.Second, Timeout: 3 * time.Second, MaxAttempts: 3,
 		ServiceWeights: []intent.ServiceWeight{{Service: "s", Weight: 1}},
 	}
-	f.state = direct.New(direct.Settings{Name: "entry", Zone: "z", Region: "r", Seed: 1, RetryRatio: 0.2, RetryAllowance: 100, RetryWindow: 10 * time.Second, MaxShift: 0.15, FaultTime: 4 * time.Second})
+	f.settings = direct.Settings{Name: "entry", Zone: "z", Region: "r", Seed: 1, RetryRatio: 0.2, RetryAllowance: 100, RetryWindow: 10 * time.Second, MaxShift: 0.15, FaultTime: 4 * time.Second, WarmupAllowance: 20}
+	f.state = direct.New(f.settings)
 	in := intent.New(1, []intent.Route{f.route}, map[string]intent.Service{"s": {Name: "s", HealthPath: "/health"}}, intent.Limits{})
 	f.state, _ = direct.Reduce(f.state, direct.IntentChanged{Intent: in})
 
@@ -92,8 +101,10 @@
 	case "list":
 		return f.apply(direct.ServersChanged{At: at, Servers: listedServers(t, d.Input)})
 	case "request":
-		f.route.Idempotent = d.HasArg("idempotent")
-
+		f.route.Idempotent, f.route.MaxAttempts = d.HasArg("idempotent"), 3
+		if d.HasArg("attempts") {
+			d.ScanArgs(t, "attempts", &f.route.MaxAttempts)
+		}
 		left := 5 * time.Second
 		if d.HasArg("left") {
 			left = argDuration(t, d, "left")
@@ -103,13 +114,26 @@
 	case "answered", "not-run":
 		outcome := map[string]direct.Outcome{"answered": direct.Answered, "not-run": direct.NotRun}[d.Cmd]
 
-		return f.apply(direct.AttemptEnded{At: at, ID: direct.RequestID(id), Outcome: outcome, Status: status, Leaving: d.HasArg("leaving"), PauseFor: pause})
+		return f.apply(direct.AttemptEnded{At: at, ID: direct.RequestID(id), Hedge: d.HasArg("hedge"), Outcome: outcome, Status: status, Leaving: d.HasArg("leaving"), PauseFor: pause})
 	case "broken-off":
 		return f.apply(direct.AttemptEnded{At: at, ID: direct.RequestID(id), Outcome: direct.Unknown, TimedOut: true})
 	case "stop":
 		return f.apply(direct.StopRequested{At: at, AnswerBy: argDuration(t, d, "answer-by")})
 	case "lost":
-		return f.apply(direct.AttemptEnded{At: at, ID: direct.RequestID(id), Outcome: direct.Unknown})
+		return f.apply(direct.AttemptEnded{At: at, ID: direct.RequestID(id), Hedge: d.HasArg("hedge"), Outcome: direct.Unknown})
+	case "late":
+		return f.apply(direct.HedgeDue{At: at, ID: direct.RequestID(id)})
+	case "caller-leaves":
+		return f.apply(direct.CallerLeft{At: at, ID: direct.RequestID(id)})
+	case "hedge-share":
+		d.ScanArgs(t, "share", &f.settings.HedgeShares.Default)
+		if d.HasArg("no-retries") {
+			f.settings.RetryRatio, f.settings.RetryAllowance = 0, 0
+		}
+
+		return f.apply(direct.SettingsChanged{At: at, Settings: f.settings})
+	case "learn":
+		return f.learn()
 	case "probe-ended":
 		var name string
 		d.ScanArgs(t, "server", &name)
@@ -135,6 +159,20 @@
 	return ""
 }
 
+// learn lets 100 requests be answered in 10 to 29 ms each, in two seconds.
+func (f *scriptFixture) learn() string {
+	f.route.Idempotent = true
+	for i := range 100 {
+		f.lastLearned++
+		id := 1000 + f.lastLearned
+		f.apply(direct.RequestArrived{At: direct.At(f.now), ID: id, Route: f.route, Deadline: f.now + 5*time.Second})
+		f.now += time.Duration(10+i%20) * time.Millisecond
+		f.apply(direct.AttemptEnded{At: direct.At(f.now), ID: id, Outcome: direct.Answered, Status: 200})
+	}
+
+	return f.apply(direct.Tick{At: direct.At(f.now)})
+}
+
 func argDuration(t *testing.T, d *datadriven.TestData, name string) time.Duration {
 	t.Helper()
 	var text string
@@ -145,7 +183,7 @@
 	return out
 }
 
-// listedServers parses lines of the form "ID START [leaving]".
+// listedServers parses lines of the form "ID START [leaving] [cold]".
 func listedServers(t *testing.T, input string) []direct.Server {
 	t.Helper()
 	var out []direct.Server
@@ -154,6 +192,9 @@
 		_, err := fmt.Sscan(line, &s.ID, &s.StartedUnixMS)
 		require.NoError(t, err)
 		s.Address, s.Leaving = s.ID, strings.Contains(line, "leaving")
+		if strings.Contains(line, "cold") {
+			s.ColdFor = time.Minute
+		}
 		out = append(out, s)
 	}
 
@@ -169,7 +210,16 @@
 		switch e := effect.(type) {
 		case direct.Send:
 			f.sent[e.ID] = e.Server.ID
-			fmt.Fprintf(&out, "send %d to %s\n", e.ID, e.Server.ID)
+			fmt.Fprintf(&out, "send %d to %s", e.ID, e.Server.ID)
+			if e.Hedge {
+				out.WriteString(", too")
+			}
+			if e.LateAt > 0 {
+				fmt.Fprintf(&out, ", late after %s", (e.LateAt - f.now).Round(time.Millisecond))
+			}
+			out.WriteString("\n")
+		case direct.Cancel:
+			fmt.Fprintf(&out, "cancel %d, hedge %t\n", e.ID, e.Hedge)
 		case direct.Hold:
 			fmt.Fprintf(&out, "hold %d\n", e.ID)
 		case direct.Refuse:
--- a/internal/steer/direct/simulation_test.go
+++ b/internal/steer/direct/simulation_test.go
@@ -66,6 +66,19 @@
 	// others.
 	LongShare  float64 `yaml:"long-share"`
 	LongFactor float64 `yaml:"long-times"`
+	// LongAnywhere is true if these requests take as long at any server; otherwise each
+	// server draws anew.
+	LongAnywhere bool `yaml:"long-anywhere"`
+	// From SlowAt on, for SlowFor, all servers take SlowTimes as long, without saying so.
+	SlowAt    time.Duration `yaml:"slow-at"`
+	SlowFor   time.Duration `yaml:"slow-for"`
+	SlowTimes float64       `yaml:"slow-times"`
+	// HedgeShare is direct.HedgeShares.Default.
+	HedgeShare float64 `yaml:"hedge-share"`
+	// Without hedges the 99th percentile must be at least MinTailGain times as long. With
+	// them, attempts may spend at most MaxSlotTime times as long in slots.
+	MinTailGain float64 `yaml:"tail-gain"`
+	MaxSlotTime float64 `yaml:"most-slot-time"`
 	// NoiseShare is the share of the servers that other VMs on the same machine slow down
 	// at any moment. Requests take NoiseFactor times as long there. Whether a server is
 	// slow is drawn again after MeanNoisePeriod on average.
@@ -127,6 +140,9 @@
 	// requests counts all requests of the callers. begun counts the requests at which a
 	// server began to work, inVain those of them that it did not finish in time.
 	requests, begun, inVain int
+	// hedges counts the second attempts, slotTime the time that attempts spent in slots.
+	hedges   int
+	slotTime time.Duration
 	// times are the times from the first request to the answer.
 	times    []time.Duration
 	byRegion map[int]*count
@@ -272,6 +288,8 @@
 	requests       int
 	// counted is false for a caller that comes before scenario.CountFrom.
 	counted bool
+	// long is true if its requests are long at any server.
+	long bool
 }
 
 // simulation runs a scenario in simulated time on the reducers of all entry VMs.
@@ -291,6 +309,7 @@
 	callers map[direct.RequestID]*caller
 	entryOf map[direct.RequestID]*entry
 	lastID  direct.RequestID
+	runs    map[runKey]*run
 	outcome outcome
 }
 
@@ -299,7 +318,7 @@
 func newSimulation(sc scenario, formerPolicy string) *simulation {
 	sim := &simulation{
 		scenario: sc, formerPolicy: formerPolicy, random: rand.New(rand.NewPCG(1, 2)), backends: map[string]*backend{},
-		callers: map[direct.RequestID]*caller{}, entryOf: map[direct.RequestID]*entry{}, routes: map[int]intent.Route{},
+		callers: map[direct.RequestID]*caller{}, entryOf: map[direct.RequestID]*entry{}, routes: map[int]intent.Route{}, runs: map[runKey]*run{},
 	}
 	sim.outcome.byRegion, sim.outcome.byLevel = map[int]*count{}, map[int]*count{}
 	var routes []intent.Route
@@ -327,10 +346,14 @@
 			names = append(names, fmt.Sprintf("entry-%d-%d", r, i))
 		}
 	}
+	shares := direct.HedgeShares{Default: sc.HedgeShare}
+	if formerPolicy != "" {
+		shares = direct.HedgeShares{}
+	}
 	for i, name := range names {
 		e := &entry{region: i / sc.Entries, state: direct.New(direct.Settings{
 			Name: name, Zone: region(i / sc.Entries), Region: region(i / sc.Entries), Seed: uint64(i),
-			RetryRatio: 0.2, RetryAllowance: 50, RetryWindow: 10 * time.Second, MaxShift: 0.15, FaultTime: 4 * time.Second,
+			RetryRatio: 0.2, RetryAllowance: 50, RetryWindow: 10 * time.Second, MaxShift: 0.15, FaultTime: 4 * time.Second, HedgeShares: shares,
 		})}
 		sim.entries = append(sim.entries, e)
 		sim.apply(e, direct.IntentChanged{Intent: in})
@@ -386,6 +409,7 @@
 			callerKind: sim.drawKind(), region: r, object: fmt.Sprintf("%d-%d", r, sim.random.IntN(sim.Objects)), firstRequestAt: sim.now,
 			counted: sim.now >= time.Duration(sim.CountFrom)*time.Second,
 		}
+		c.long = sim.LongAnywhere && sim.random.Float64() < sim.LongShare
 		if c.counted {
 			for _, n := range sim.countsOf(c) {
 				n.callers++
@@ -501,7 +525,16 @@
 	switch f := effect.(type) {
 	case direct.Send:
 		rtt := sim.roundTrip(e.region, sim.backends[f.Server.ID].region)
-		sim.after(rtt/2, func() { sim.runRequest(e, f, rtt) })
+		r := &run{entry: e, send: f, roundTrip: rtt, backend: sim.backends[f.Server.ID]}
+		sim.runs[runKey{f.ID, f.Hedge}] = r
+		sim.after(rtt/2, func() { sim.runRequest(r) })
+		if f.LateAt > 0 {
+			sim.after(f.LateAt-sim.now, func() { sim.apply(e, direct.HedgeDue{At: direct.At(sim.now), ID: f.ID}) })
+		}
+		sim.add(f.Hedge && sim.callers[f.ID].counted, &sim.outcome.hedges)
+	case direct.Cancel:
+		r := sim.runs[runKey{f.ID, f.Hedge}]
+		sim.after(r.roundTrip/2, func() { sim.cancel(r) })
 	case direct.Hold:
 		sim.after(f.Until-sim.now, func() { sim.apply(e, direct.HoldExpired{At: direct.At(sim.now), ID: f.ID}) })
 	case direct.Refuse:
@@ -520,46 +553,6 @@
 	}
 }
 
-// runRequest runs a request at a server, at once or when a slot is free, unless the
-// server sheds it.
-func (sim *simulation) runRequest(e *entry, f direct.Send, rtt time.Duration) {
-	b := sim.backends[f.Server.ID]
-	if sim.random.Float64() < sim.ShedShare {
-		sim.endAttempt(e, f, rtt/2, direct.NotRun, false)
-		if sim.formerPolicy == toldOfPauses {
-			sim.tellOfPause(e, f.Server.ID)
-		}
-
-		return
-	}
-	start := func() {
-		if sim.now >= f.Deadline {
-			sim.endAttempt(e, f, rtt, direct.Unknown, true)
-			sim.freeSlot(b)
-
-			return
-		}
-		counted := sim.callers[f.ID].counted
-		sim.add(counted, &sim.outcome.begun)
-		took := sim.processingTime(b, sim.callers[f.ID].object)
-		untilDeadline := f.Deadline - sim.now
-		if took > untilDeadline {
-			sim.add(counted, &sim.outcome.inVain)
-			sim.after(untilDeadline, func() { sim.endAttempt(e, f, 0, direct.Unknown, true); sim.freeSlot(b) })
-
-			return
-		}
-		sim.after(took, func() { sim.endAttempt(e, f, rtt/2, direct.Answered, false); sim.freeSlot(b) })
-	}
-	if b.running < sim.Slots {
-		b.running++
-		start()
-
-		return
-	}
-	b.waiting = append(b.waiting, start)
-}
-
 // tellOfPause lets the other entry VMs pause at a server, as if it had asked them to.
 func (sim *simulation) tellOfPause(e *entry, server string) {
 	const reportTime = 100 * time.Millisecond
@@ -572,21 +565,10 @@
 	}
 }
 
-// freeSlot gives a slot to the next waiting request.
-func (sim *simulation) freeSlot(b *backend) {
-	if len(b.waiting) == 0 {
-		b.running--
-
-		return
-	}
-	next := b.waiting[0]
-	b.waiting = b.waiting[1:]
-	next()
-}
-
 // processingTime returns the processing time of a request for an object at a server.
 // The server remembers the object from then on.
-func (sim *simulation) processingTime(b *backend, object string) time.Duration {
+func (sim *simulation) processingTime(b *backend, c *caller) time.Duration {
+	object := c.object
 	took := float64(sim.UnknownObjectTime) * (0.85 + 0.3*sim.random.Float64()) * b.slowdown
 	for i, known := range b.known {
 		if known == object {
@@ -600,9 +582,12 @@
 	if len(b.known) > sim.RememberedObjects {
 		b.known = b.known[1:]
 	}
-	if sim.random.Float64() < sim.LongShare {
+	if !sim.LongAnywhere && sim.random.Float64() < sim.LongShare || c.long {
 		took *= sim.LongFactor
 	}
+	if sim.now >= sim.SlowAt && sim.now < sim.SlowAt+sim.SlowFor {
+		took *= sim.SlowTimes
+	}
 
 	return time.Duration(took)
 }
@@ -617,7 +602,7 @@
 		}
 		sim.apply(e, direct.AttemptEnded{
 			PauseFor: pause,
-			At:       direct.At(sim.now), ID: f.ID, Outcome: o, Status: 200, TimedOut: timedOut, DialTook: sim.roundTrip(e.region, b.region),
+			At:       direct.At(sim.now), ID: f.ID, Hedge: f.Hedge, Outcome: o, Status: 200, TimedOut: timedOut, DialTook: sim.roundTrip(e.region, b.region),
 			Load: option.Some(direct.Load{RunningRequests: b.running, WaitingRequests: len(b.waiting), Slowdown: b.slowdown}),
 		})
 	})
