run/direct: two attempts of one request at a time

Cause: the reducer's hedges need a second attempt beside the first, and the end of the loser. Change: an attempt that may get company runs in a goroutine of its own; all others run as before. Cancel ends the context of an attempt, which closes its connection; its result is dropped and its memory given back before Serve returns. Contexts live until the request has ended, so that a streamed answer of the winner is whole. Pending effects are performed before further results, so that nothing is written twice.

--- a/internal/run/direct/entryvm.go
+++ b/internal/run/direct/entryvm.go
@@ -176,7 +176,8 @@
 	p.reduce(steer.SettingsChanged{At: p.eventTime(), Settings: settings.Steering})
 	p.mu.Unlock()
 	p.log.Info("settings in force", zap.Duration("lookup-ttl", settings.LookupTTL), zap.Duration("stop-within", settings.GracePeriod),
-		zap.Float64("retry-ratio", settings.Steering.RetryRatio), zap.Float64("warmup-factor", settings.Steering.WarmupFactor))
+		zap.Float64("retry-ratio", settings.Steering.RetryRatio), zap.Float64("warmup-factor", settings.Steering.WarmupFactor),
+		zap.Float64("hedge-share", settings.Steering.HedgeShares.Default))
 }
 
 // Ready reports whether callers should be sent to this entry VM: it has a configuration
@@ -222,6 +223,8 @@
 	switch e := effect.(type) {
 	case steer.Send:
 		p.deliver(e.ID, e)
+	case steer.Cancel:
+		p.deliver(e.ID, e)
 	case steer.Hold:
 		p.deliver(e.ID, e)
 	case steer.Refuse:
--- a/internal/run/direct/serve.go
+++ b/internal/run/direct/serve.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"context"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -13,7 +12,6 @@
 	"go.uber.org/zap"
 
 	steer "github.com/greengagetally/greengagetally/internal/steer/direct"
-	"github.com/greengagetally/greengagetally/internal/value/option"
 	"github.com/greengagetally/greengagetally/internal/wire/http1"
 )
 
@@ -38,14 +36,18 @@
 	arrivedAt     time.Duration
 	effects       chan steer.Effect
 	configVersion uint64
-	// lastSend is the newest decision to send the request to a server. attempts counts
-	// all such decisions for the request.
+	// attempts are all attempts. Those of which running counts have not arrived at ended yet.
+	attempts []*attempt
+	running  int
+	ended    chan *attempt
+	// lastSend is the decision for the attempt that began or ended last.
 	lastSend steer.Send
-	attempts int
-	// lastResponse is the newest complete response of a server. results are the results of
-	// all attempts, whose memory is released when the request has ended.
-	lastResponse *http1.Response
-	results      []http1.Result
+	// lastResponse is the newest complete response of a server. answeredByHedge is true if
+	// it is that of a hedge.
+	lastResponse    *http1.Response
+	answeredByHedge bool
+	// holdTimer and lateTimer fire when HoldExpired and HedgeDue are due; nil if they are not.
+	holdTimer, lateTimer <-chan time.Time
 	// notRun is true when the request was refused: no backend server has run it.
 	notRun bool
 }
@@ -107,9 +109,6 @@
 	if r.notRun {
 		giveBack()
 	}
-	for _, result := range r.results {
-		result.Release()
-	}
 	p.mu.Lock()
 	delete(p.effectChans, r.id)
 	p.mu.Unlock()
@@ -128,39 +127,34 @@
 // run performs the reducer's effects for the request until it is answered or its caller
 // has left.
 func (r *activeRequest) run() {
-	var holdTimer <-chan time.Time
+	defer r.closeAttempts()
 	for {
 		select {
 		case effect := <-r.effects:
-			holdTimer = nil
-			switch e := effect.(type) {
-			case steer.Send:
-				r.lastSend = e
-				r.attempts++
-				if r.attempt(e) {
-					return
-				}
-			case steer.Hold:
-				holdTimer = time.After(e.Until - r.clock.Now())
-			case steer.Refuse:
-				r.notRun = true
-				r.denyCustomer(r.exchange, r.customer, denial{status: http.StatusServiceUnavailable, reason: e.Reason, retryAfter: e.RetryAfter}, r.fields(
-					zap.Float64("use", e.DemandRatio), zap.Duration("wait", e.Wait), zap.Duration("work", e.AnswerTime), zap.Duration("left", e.TimeLeft))[1:]...)
-
+			// An effect that is pending may cancel an attempt that has ended, too.
+			if r.perform(effect) {
 				return
-			case steer.ReturnResponse:
-				r.finish("answered", r.lastResponse.Status)
-				r.exchange.Respond(*r.lastResponse)
+			}
 
+			continue
+		default:
+		}
+		select {
+		case effect := <-r.effects:
+			if r.perform(effect) {
 				return
-			case steer.Fail:
-				r.fail(e)
-
+			}
+		case a := <-r.ended:
+			r.running--
+			if r.attemptEnded(a) {
 				return
 			}
-		case <-holdTimer:
-			holdTimer = nil
+		case <-r.holdTimer:
+			r.holdTimer = nil
 			r.apply(steer.HoldExpired{At: r.eventTime(), ID: r.id})
+		case <-r.lateTimer:
+			r.lateTimer = nil
+			r.apply(steer.HedgeDue{At: r.eventTime(), ID: r.id})
 		case <-r.exchange.CallerLeft():
 			r.callerLeft()
 
@@ -169,91 +163,45 @@
 	}
 }
 
-// callerLeft ends a request whose caller has left.
-func (r *activeRequest) callerLeft() {
-	r.apply(steer.CallerLeft{At: r.eventTime(), ID: r.id})
-	r.finish("caller-left", 0)
-	r.exchange.Abort()
-}
-
-// attempt sends the request to a server and reports the result to the reducer. It returns
-// true when the request has ended: the caller left meanwhile, or a streamed response was
-// forwarded.
-func (r *activeRequest) attempt(send steer.Send) bool {
-	ctx, cancel := context.WithTimeout(context.Background(), send.Deadline-r.clock.Now())
-	defer cancel()
-	detach := context.AfterFunc(r.attemptsCtx, cancel)
-	defer detach()
-	r.exchange.OnCallerLeft(cancel)
-	result := r.pool.Do(ctx, http1.Target{Instance: send.Server.ID, Address: send.Server.Address}, r.exchange.Request)
-	r.exchange.OnCallerLeft(nil)
-	r.results = append(r.results, result)
-	select {
-	case <-r.exchange.CallerLeft():
-		if result.Response.Rest != nil {
-			_ = result.Response.Rest.Close()
-		}
-		r.callerLeft()
-
-		return true
-	default:
-	}
-	// The end of a stop says nothing about the server, like the deadline.
-	result.TimedOut = result.TimedOut || result.Err != nil && r.attemptsCtx.Err() != nil
-	if result.Outcome == http1.Answered {
-		if r.lastResponse != nil && r.lastResponse.Rest != nil {
-			_ = r.lastResponse.Rest.Close()
+// perform performs an effect. It returns true when the request has ended.
+func (r *activeRequest) perform(effect steer.Effect) bool {
+	r.holdTimer = nil
+	switch e := effect.(type) {
+	case steer.Send:
+		if e.LateAt > 0 {
+			r.lateTimer = time.After(e.LateAt - r.clock.Now())
 		}
-		r.lastResponse = &result.Response
-	}
-	if result.Outcome != http1.Answered || result.Response.Status >= http.StatusInternalServerError {
-		r.log.Info("attempt failed", r.fields(zap.String("address", send.Server.Address), zap.Stringer("outcome", result.Outcome),
-			zap.Int("status", result.Response.Status), zap.Bool("timed-out", result.TimedOut), zap.Error(result.Err))...)
-	}
-	r.apply(attemptEnded(r.eventTime(), r.id, result))
-	// The body of a streamed response is read under ctx, which ends when attempt returns.
-	if result.Response.Rest != nil {
-		detach()
-
-		return r.stream()
-	}
-
-	return false
-}
 
-// stream handles a response that is too long to be held in memory. If the next effect
-// is ReturnResponse, stream forwards the response to the caller and returns true. If it
-// is another effect, stream closes the response, leaves the effect to run and returns
-// false.
-func (r *activeRequest) stream() bool {
-	select {
-	case effect := <-r.effects:
-		if _, ok := effect.(steer.ReturnResponse); ok {
-			r.finish("answered", r.lastResponse.Status)
-			r.exchange.Respond(*r.lastResponse)
-
-			return true
-		}
-		_ = r.lastResponse.Rest.Close()
-		r.effects <- effect
-	default:
+		return r.startAttempt(e)
+	case steer.Cancel:
+		r.cancelAttempt(e.Hedge)
+
+		return false
+	case steer.Hold:
+		r.holdTimer = time.After(e.Until - r.clock.Now())
+
+		return false
+	case steer.Refuse:
+		r.notRun = true
+		r.denyCustomer(r.exchange, r.customer, denial{status: http.StatusServiceUnavailable, reason: e.Reason, retryAfter: e.RetryAfter}, r.fields(
+			zap.Float64("use", e.DemandRatio), zap.Duration("wait", e.Wait), zap.Duration("work", e.AnswerTime), zap.Duration("left", e.TimeLeft))[1:]...)
+	case steer.ReturnResponse:
+		r.returnResponse()
+	case steer.Fail:
+		r.fail(e)
 	}
 
-	return false
+	return true
 }
 
-// attemptEnded returns the reducer's event for the result of an attempt.
-func attemptEnded(at steer.At, id steer.RequestID, r http1.Result) steer.AttemptEnded {
-	out := steer.AttemptEnded{
-		At: at, ID: id, Outcome: steer.Outcome(r.Outcome), Status: r.Response.Status,
-		ColdFor: r.ColdFor, OtherInstance: r.OtherInstance, TimedOut: r.TimedOut, DialTook: r.DialTook,
-		Leaving: r.Leaving, PauseFor: r.PauseFor,
-	}
-	if load, ok := r.Load.Get(); ok {
-		out.Load = option.Some(steer.Load{RunningRequests: load.RunningRequests, WaitingRequests: load.WaitingRequests, Slowdown: load.Slowdown})
+// callerLeft ends a request whose caller has left.
+func (r *activeRequest) callerLeft() {
+	for _, a := range r.attempts {
+		a.cancel()
 	}
-
-	return out
+	r.apply(steer.CallerLeft{At: r.eventTime(), ID: r.id})
+	r.finish("caller-left", 0)
+	r.exchange.Abort()
 }
 
 // finish records the duration of a request that ended, and logs it.
@@ -268,7 +216,7 @@
 func (r *activeRequest) fields(more ...zap.Field) []zap.Field {
 	fields := []zap.Field{
 		zap.String("request", r.exchange.ID), zap.String("route", r.route), zap.Uint64("version", r.configVersion),
-		zap.Duration("took", r.clock.Now()-r.arrivedAt), zap.Int("attempts", r.attempts),
+		zap.Duration("took", r.clock.Now()-r.arrivedAt), zap.Int("attempts", len(r.attempts)),
 		zap.String("server", r.lastSend.Server.ID), zap.String("zone", r.lastSend.Server.Zone),
 		zap.Float64("occupied", r.lastSend.OccupiedSlots), zap.Int("limit", r.lastSend.SlotLimit),
 	}
--- a/internal/run/metrics/metrics.go
+++ b/internal/run/metrics/metrics.go
@@ -58,6 +58,12 @@
 	m.counter("refused/" + outcome + "/" + reason).Inc(1)
 }
 
+// Hedge counts a second attempt for a request of a service while the first went on: event is
+// "sent" or "won".
+func (m *Metrics) Hedge(service, event string) {
+	m.counter("hedges/" + service + "/" + event).Inc(1)
+}
+
 // CustomerRequest counts a request of a customer, and whether it was refused. Customers
 // beyond the first maxCustomers are counted together as otherCustomers.
 func (m *Metrics) CustomerRequest(customer string, refused bool) {
