--- a/cmd/greengagetally-platform/main.go
+++ b/cmd/greengagetally-platform/main.go
@@ -9,5 +9,5 @@
 )
 
 func main() {
-	os.Exit(platform.Main(os.Stdout))
+	os.Exit(platform.Main(os.Args[1:], os.Stdout))
 }
