steer/direct: few hedges for a route whose hedges rarely win

Change: a route whose share of won hedges falls below 0.05 sends one hedge in 10 s until they win again.

--- a/internal/steer/direct/attempt.go
+++ b/internal/steer/direct/attempt.go
@@ -33,6 +33,7 @@
 	r.mayHaveRun = r.mayHaveRun || e.Outcome == Unknown || e.Outcome == Answered
 	if len(r.inFlight) > 0 {
 		if e.Outcome == Answered && e.Status < minServerErrorStatus {
+			s.recordHedge(r, e.Hedge)
 			s.cancelOthers(r)
 		} else {
 			// The other server may still answer.
--- a/internal/steer/direct/direct.go
+++ b/internal/steer/direct/direct.go
@@ -105,6 +105,7 @@
 	queues         map[string]*queue
 	retryBudgets   map[string]*retryBudget
 	hedges         map[string]*hedges
+	hedgeTrials    map[string]*hedgeTrial
 	demands        map[string]*demand
 	divisions      map[string]*division
 	typicalByRoute map[string]*typicalTimes
@@ -162,6 +163,7 @@
 		queues:         map[string]*queue{},
 		retryBudgets:   map[string]*retryBudget{},
 		hedges:         map[string]*hedges{},
+		hedgeTrials:    map[string]*hedgeTrial{},
 		demands:        map[string]*demand{},
 		divisions:      map[string]*division{},
 		typicalByRoute: map[string]*typicalTimes{},
--- a/internal/steer/direct/hedge.go
+++ b/internal/steer/direct/hedge.go
@@ -28,6 +28,12 @@
 	// in twenty is late by definition; four late ones in a row reach maxLateShare.
 	lateAlpha    = 0.05
 	maxLateShare = 0.2
+	// wonAlpha is the weight of one hedge in the share of a route's hedges that were answered
+	// first, which begins at firstWonShare. Below minWonShare the late requests of the route take as long
+	// at any server, and only one hedge in each hedgeWindow shows whether that is still so.
+	wonAlpha      = 0.05
+	firstWonShare = 0.3
+	minWonShare   = 0.05
 	// maxHedgePrice is the slot price above which slots are scarce: then a hedge would make
 	// others wait for longer than it takes itself.
 	maxHedgePrice = 1.0
@@ -80,13 +86,36 @@
 	})
 }
 
+// moveShare returns a share after one more attempt, which counts for it or not.
+func moveShare(share float64, counts bool, alpha float64) float64 {
+	if counts {
+		return share + alpha*(1-share)
+	}
+
+	return share - alpha*share
+}
+
 // recordLate records whether an attempt was late.
 func (h *hedges) recordLate(late bool) {
-	sample := 0.0
-	if late {
-		sample = 1
-	}
-	h.lateShare += lateAlpha * (sample - h.lateShare)
+	h.lateShare = moveShare(h.lateShare, late, lateAlpha)
+}
+
+// hedgeTrial says whether the hedges of a route are worth their work.
+type hedgeTrial struct {
+	// wonShare is the share of the hedges that were answered first. nextAt is when the next
+	// one may be sent although few were.
+	wonShare float64
+	nextAt   time.Duration
+}
+
+func (s *state) hedgeTrial(r *request) *hedgeTrial {
+	return getOrCreate(s.hedgeTrials, r.route.Name, func() *hedgeTrial { return &hedgeTrial{wonShare: firstWonShare} })
+}
+
+// recordHedge records whether the hedge of a request was answered first.
+func (s *state) recordHedge(r *request, won bool) {
+	trial := s.hedgeTrial(r)
+	trial.wonShare = moveShare(trial.wonShare, won, wonAlpha)
 }
 
 // lateAt returns when the first attempt of a request is late, 0 if it gets no hedge then.
@@ -124,12 +153,17 @@
 	if !s.mayHedge(r, h) {
 		return
 	}
+	trial := s.hedgeTrial(r)
+	if trial.wonShare < minWonShare && s.now < trial.nextAt {
+		return
+	}
 	srv := s.hedgeServer(r)
 	share := s.settings.HedgeShares.of(r.service)
 	if srv == nil || !h.budget.fits(s.now, share, h.roundUp) || !s.takeRetry(r, hedgeRetryPart) {
 		return
 	}
 	h.budget.countRetry(s.now)
+	trial.nextAt = s.now + hedgeWindow
 	s.sendHedge(r, srv, Late{After: after, Share: h.lateShare, DemandRatio: s.demandRatios[r.service]})
 }
 
