--- a/internal/steer/direct/hedge.go
+++ b/internal/steer/direct/hedge.go
@@ -29,8 +29,8 @@
 	lateAlpha    = 0.05
 	maxLateShare = 0.2
 	// wonAlpha is the weight of one hedge in the share of a route's hedges that were answered
-	// first, which begins at firstWonShare. Below minWonShare the late requests of the route take as long
-	// at any server, and only one hedge in each hedgeWindow shows whether that is still so.
+	// first, which begins at firstWonShare. Below minWonShare the late requests of the route
+	// take as long at any server, and one hedge in each hedgeWindow shows whether they still do.
 	wonAlpha      = 0.05
 	firstWonShare = 0.3
 	minWonShare   = 0.05
