--- a/internal/steer/direct/direct.go
+++ b/internal/steer/direct/direct.go
@@ -41,6 +41,8 @@
 	// FaultTime is how long a fault may show its effects after its last sign. MaxShift does
 	// not hold meanwhile.
 	FaultTime time.Duration
+	// HedgeShares bounds the hedges.
+	HedgeShares HedgeShares
 }
 
 const (
@@ -102,6 +104,8 @@
 	requests       map[RequestID]*request
 	queues         map[string]*queue
 	retryBudgets   map[string]*retryBudget
+	hedges         map[string]*hedges
+	hedgeTrials    map[string]*hedgeTrial
 	demands        map[string]*demand
 	divisions      map[string]*division
 	typicalByRoute map[string]*typicalTimes
@@ -172,6 +176,8 @@
 		queues:         map[string]*queue{},
 		refusals:       map[string]*refusals{},
 		retryBudgets:   map[string]*retryBudget{},
+		hedges:         map[string]*hedges{},
+		hedgeTrials:    map[string]*hedgeTrial{},
 		demands:        map[string]*demand{},
 		divisions:      map[string]*division{},
 		typicalByRoute: map[string]*typicalTimes{},
@@ -201,6 +207,8 @@
 		s.attemptEnded(e)
 	case HoldExpired:
 		s.holdExpired(e.ID)
+	case HedgeDue:
+		s.hedgeDue(e.ID)
 	case CallerLeft:
 		s.callerLeft(e.ID)
 	case PeerReported:
@@ -255,7 +263,7 @@
 	r.objectHash = s.random.Uint64()
 	if e.Route.Sticky && e.Object != "" {
 		r.objectHash = rendezvous.Mix(xxhash.Sum64String(e.Object) ^ xxhash.Sum64String(e.Route.Host))
-		r.divisionPoint = float64(rendezvous.Mix(r.objectHash)>>11) / (1 << 53)
+		r.divisionPoint = fraction(rendezvous.Mix(r.objectHash))
 	}
 	s.noteBody(r, e.BodyBytes)
 	s.requests[r.id] = r
@@ -272,11 +280,19 @@
 		return
 	}
 	s.retryBudget(r.service).countFirstAttempt(s.now)
+	if h := s.hedgesOf(r.service); h != nil {
+		h.budget.countFirstAttempt(s.now)
+	}
 	s.demand(r.service).requestedSlotTime += s.residenceTime(r)
 	s.queue(r.service).countRequest(r)
 	s.admit(r)
 }
 
+// fraction returns a point in [0, 1) for a hash.
+func fraction(hash uint64) float64 {
+	return float64(hash>>11) / (1 << 53)
+}
+
 // nextPoint returns the point in [0, 1) after another one in a sequence whose points are
 // spread evenly in any stretch of it.
 func nextPoint(point float64) float64 {
@@ -323,7 +339,7 @@
 	switch {
 	case c.server == nil && !s.mayWait(r):
 		s.giveUp(r, reason)
-	case r.attempts > 0 && !s.takeRetry(r):
+	case r.attempts > 0 && !s.takeRetry(r, 1):
 		s.giveUp(r, ReasonRetryBudget)
 	case c.server != nil:
 		s.send(r, c.server)
@@ -374,22 +390,36 @@
 	return ReasonNoCapacity
 }
 
-// send sends a request to a server and counts it in flight there.
+// send sends a request that is at no server to a server.
 func (s *state) send(r *request, srv *server) {
+	s.startAttempt(r, attempt{server: srv, lateAt: s.lateAt(r, srv)}, Late{})
+}
+
+// sendHedge sends a request that is at a server to another one, too.
+func (s *state) sendHedge(r *request, srv *server, late Late) {
+	s.startAttempt(r, attempt{server: srv, hedge: true}, late)
+}
+
+// startAttempt sends a request to a server and counts it in flight there.
+func (s *state) startAttempt(r *request, a attempt, late Late) {
+	srv := a.server
 	if srv.isCold(s.now) {
 		srv.nextColdSendAt = coldSendAfter(s.now, s.ownColdRate(srv))
 	}
-	s.emit(Send{ID: r.id, Server: srv.Server, Deadline: r.deadline, OccupiedSlots: srv.occupied(), SlotLimit: srv.slotLimit()})
-	r.portions = s.slotPortions(r, srv)
+	s.emit(Send{
+		ID: r.id, Server: srv.Server, Deadline: r.deadline, OccupiedSlots: srv.occupied(), SlotLimit: srv.slotLimit(),
+		LateAt: a.lateAt, Hedge: a.hedge, Late: late,
+	})
+	a.sentAt, a.portions = s.now, s.slotPortions(r, srv)
 	srv.inFlight++
 	srv.longBodyBytes += r.longBodyBytes
-	srv.ownPortions += r.portions
-	s.heldPortions[r.service] += r.portions
+	srv.ownPortions += a.portions
+	s.heldPortions[r.service] += a.portions
 	r.share = s.shareOf(r)
-	s.queue(r.service).begin(r)
+	a.share, a.period = r.share, s.queue(r.service).begin(r.share)
 	s.typicalTimes(r).lastSentAt = s.now
 	s.spillover.count(s.now, r.assignedRegion != "" && srv.Region != r.assignedRegion)
-	r.currentServer, r.sentAt = srv, s.now
+	r.inFlight = append(r.inFlight, a)
 	r.triedServers = append(r.triedServers, srv.ID)
 }
 
@@ -423,7 +453,7 @@
 	}
 }
 
-// callerLeft removes a request. The runtime cancels the attempt in flight itself.
+// callerLeft removes a request. The runtime cancels the attempts in flight itself.
 func (s *state) callerLeft(id RequestID) {
 	r, ok := s.requests[id]
 	if !ok {
@@ -446,17 +476,30 @@
 	return max(int(math.Round(portionsPerSlot*float64(processing)/float64(processing+s.roundTrip(srv.Region)))), 1)
 }
 
-// release ends the attempt in flight, if any, and subtracts it from the server's
-// counts. served is true if the server may have worked for the request.
+// release ends the attempts in flight, if any, and subtracts them from the servers'
+// counts. served is true if the servers may have worked for the request.
 func (s *state) release(r *request, served bool) {
-	if r.currentServer != nil {
-		r.currentServer.inFlight--
-		r.currentServer.longBodyBytes -= r.longBodyBytes
-		r.currentServer.ownPortions -= r.portions
-		s.heldPortions[r.service] -= r.portions
-		s.queue(r.service).end(r, served)
-		r.currentServer = nil
+	for len(r.inFlight) > 0 {
+		s.releaseAttempt(r, r.inFlight[0].hedge, served)
+	}
+}
+
+// releaseAttempt ends an attempt in flight and subtracts it from the server's counts. It
+// returns false if there is no such attempt. served is as in release.
+func (s *state) releaseAttempt(r *request, hedge, served bool) (attempt, bool) {
+	at := slices.IndexFunc(r.inFlight, func(a attempt) bool { return a.hedge == hedge })
+	if at < 0 {
+		return attempt{}, false
 	}
+	a := r.inFlight[at]
+	r.inFlight = slices.Delete(r.inFlight, at, at+1)
+	a.server.inFlight--
+	a.server.longBodyBytes -= r.longBodyBytes
+	a.server.ownPortions -= a.portions
+	s.heldPortions[r.service] -= a.portions
+	s.queue(r.service).end(a.share, a.period, served)
+
+	return a, true
 }
 
 func (s *state) queue(service string) *queue {
--- a/internal/steer/direct/queue.go
+++ b/internal/steer/direct/queue.go
@@ -74,18 +74,20 @@
 	r.queued = false
 }
 
-// begin notes that a request takes a slot.
-func (q *queue) begin(r *request) {
-	if q.isFair {
-		r.period = q.shares.Serve(r.share)
-		q.reorder()
+// begin notes that an attempt takes a slot. It returns the period in which it does.
+func (q *queue) begin(share fair.Item) fair.Period {
+	if !q.isFair {
+		return 0
 	}
+	q.reorder()
+
+	return q.shares.Serve(share)
 }
 
-// end notes that a request leaves its slot, and whether a server may have worked for it.
-func (q *queue) end(r *request, served bool) {
+// end notes that an attempt leaves its slot, and whether a server may have worked for it.
+func (q *queue) end(share fair.Item, period fair.Period, served bool) {
 	if q.isFair {
-		q.shares.Finish(r.share, r.period, served)
+		q.shares.Finish(share, period, served)
 		q.reorder()
 	}
 }
