--- a/internal/wire/backend/conn_test.go
+++ b/internal/wire/backend/conn_test.go
@@ -1,8 +1,10 @@
 package backend
 
 import (
+	"bufio"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -41,6 +43,48 @@
 	}
 }
 
+// Guards against a connection that is used again after a response without an HTTP status: what
+// follows on it may belong to that response.
+func TestConnectionEndsWithAResponseWithoutAStatus(t *testing.T) {
+	t.Parallel()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = listener.Close() }()
+	accepted := make(chan struct{}, 4)
+	go func() {
+		for {
+			raw, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			accepted <- struct{}{}
+			go func() {
+				defer func() { _ = raw.Close() }()
+				in := bufio.NewReader(raw)
+				for {
+					if _, err := http.ReadRequest(in); err != nil {
+						return
+					}
+					_, _ = io.WriteString(raw, "HTTP/1.1 000 None\r\nContent-Length: 0\r\n\r\n")
+				}
+			}()
+		}
+	}()
+	transport := NewTransport()
+	for range 2 {
+		ctx, cancel := context.WithCancel(t.Context())
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+listener.Addr().String(), nil)
+		require.NoError(t, err)
+		resp, _, err := transport.Do(req, func() {}, cancel)
+		if err == nil {
+			_ = resp.Body.Close()
+		}
+		require.Error(t, err)
+		cancel()
+	}
+	require.Len(t, accepted, 2)
+}
+
 // Guards against a slot that counts as free while the backend server still runs
 // a request that was given up. The server in this test notices 100 ms late that the
 // connection has ended.
--- a/internal/wire/backend/transport.go
+++ b/internal/wire/backend/transport.go
@@ -174,6 +174,8 @@
 	lowercaseIdempotencyKeys(req.Header)
 	resp, err := t.http.RoundTrip(req)
 	if err == nil && (trip.isLeftover() || resp.StatusCode < http.StatusContinue || resp.StatusCode == http.StatusSwitchingProtocols) {
+		// What follows on the connection may belong to this response.
+		trip.Abort()
 		_ = resp.Body.Close()
 		err = errUnusableResponse
 	}
