Log that a stop was requested once it is in force

Cause: the line was written before the reducer knew of the stop and before connections were drained, so a request could still begin an attempt after it. Change: the stop is applied and the connections drained first.

--- a/internal/run/direct/stop.go
+++ b/internal/run/direct/stop.go
@@ -33,6 +33,10 @@
 	p.mu.Lock()
 	gracePeriod, lookupTTL := p.settings.GracePeriod, p.settings.LookupTTL
 	p.mu.Unlock()
+	reserved := min(endTime+answerTime, time.Duration(maxReservedPart*float64(gracePeriod)))
+	answerBy := start + gracePeriod - reserved
+	p.apply(steer.StopRequested{At: steer.At(start), AnswerBy: answerBy})
+	p.listener.Drain()
 	p.log.Info("stop requested", zap.Int("connections", p.listener.OpenConnections()))
 	p.goroutines.Go(func() {
 		withdrawCtx, cancel := context.WithTimeout(ctx, withdrawTimeout)
@@ -42,10 +46,6 @@
 		}
 	})
 	p.reportNow()
-	reserved := min(endTime+answerTime, time.Duration(maxReservedPart*float64(gracePeriod)))
-	answerBy := start + gracePeriod - reserved
-	p.apply(steer.StopRequested{At: steer.At(start), AnswerBy: answerBy})
-	p.listener.Drain()
 	// Callers may use the result of their last lookup for lookupTTL. Meanwhile new
 	// connections are accepted and closed without a response, so that their callers look up
 	// other entry VMs.
