Believe the end of a body without a length once the request is written

Callers saw: a server answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was being written. The caller got the part as a whole answer, buffered or streamed.

Cause: the kernel reports a reset once for each connection. The goroutine that writes the request took the error, and the reader saw an end of file, which ends a body without a length.

Change: the end of such a body, of a buffered and of a streamed one, waits until the request has been written, and counts as broken if that failed. An answer that ends early stays good if the server takes the rest of the upload. A body with a length or in chunks is read as before.

--- /dev/null
+++ b/internal/run/direct/broken_test.go
@@ -0,0 +1,97 @@
+package direct_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/greengagetally/greengagetally/internal/run/direct"
+	steer "github.com/greengagetally/greengagetally/internal/steer/direct"
+)
+
+// startBrokenServer starts a server that reads the head of each request and resets the
+// connection after it has sent a response; "%s" in it stands for the request's identifier.
+func startBrokenServer(t *testing.T, response string) steer.Server {
+	t.Helper()
+	l, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.AcceptTCP()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				r, err := http.ReadRequest(bufio.NewReader(c))
+				if err != nil {
+					return
+				}
+				_, _ = io.WriteString(c, strings.ReplaceAll(response, "%s", r.Header.Get(names.RequestID)))
+				_ = c.SetLinger(0)
+			}()
+		}
+	}()
+
+	return steer.Server{Address: l.Addr().String(), Service: "s", Zone: "z1", Region: "r", Slots: 4}
+}
+
+// upload sends a request with a body of 4 MB. It returns the status of the response if the
+// caller takes it for a whole one, or 0.
+func upload(t *testing.T, address, id string) int {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), waitTimeout)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/write/"+id, bytes.NewReader(make([]byte, 4<<20)))
+	require.NoError(t, err)
+	r.Host = "a.example"
+	r.Header.Set(names.RequestID, id)
+	r.Close = true
+	resp, err := http.DefaultTransport.RoundTrip(r)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		return 0
+	}
+
+	return resp.StatusCode
+}
+
+// Guards against a part of an answer that reaches the caller as a whole one: the server
+// answers a long upload at once, without a length, and resets the connection while the upload
+// is being written. The longer answer is streamed.
+func TestResetDuringUploadIsNoAnswer(t *testing.T) {
+	t.Parallel()
+	for i, part := range []int{1, 300 << 10} {
+		t.Run(fmt.Sprint(part), func(t *testing.T) {
+			t.Parallel()
+			var servers []steer.Server
+			for k := range 4 {
+				s := startBrokenServer(t, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n\r\n"+strings.Repeat("x", part))
+				s.ID = fmt.Sprint("broken-", k)
+				servers = append(servers, s)
+			}
+			d := newDeployment(servers...)
+			e := startEntryVMWith(t, d, fmt.Sprint("127.0.0.", 230+i), func(s *direct.Settings) { s.MaxBufferedBodyBytes = 16 << 20 })
+			waitUntilReady(t, e)
+			answered := 0
+			for k := range servers {
+				if upload(t, e.address, fmt.Sprint("id-", k)) == http.StatusOK {
+					answered++
+				}
+			}
+			require.Zero(t, answered)
+		})
+	}
+}
--- a/internal/wire/http1/attempt.go
+++ b/internal/wire/http1/attempt.go
@@ -111,7 +111,7 @@
 // stop prevents the end of ctx from interrupting the connection; it returns false when
 // ctx has already ended.
 func (p *Pool) roundTrip(ctx context.Context, c *serverConn, r *Request, stop func() bool, held *reservation) Result {
-	written, err := c.sendRequest(p.encodeHeader(ctx, c.target, r), r.Body)
+	request, err := c.sendRequest(p.encodeHeader(ctx, c.target, r), r.Body)
 	if err != nil {
 		outcome := Unknown
 		if errors.Is(err, errNothingSent) {
@@ -120,7 +120,7 @@
 
 		return Result{Outcome: outcome, Err: fmt.Errorf("send to backend server: %w", err)}
 	}
-	resp, err := p.readResponse(c, r, held) //nolint:bodyclose // The body is read to its end, or closed as Rest.
+	resp, err := p.readResponse(c, r, held)
 	if err != nil {
 		return Result{Outcome: Unknown, Err: err}
 	}
@@ -131,6 +131,7 @@
 	if r.Method == http.MethodHead {
 		length = 0
 	}
+	resp.Body = request.responseBody(resp)
 	buffered, whole, err := held.readBody(resp.Body, length)
 	if err != nil {
 		return Result{Outcome: Unknown, Load: result.Load, Err: fmt.Errorf("read response: %w", err)}
@@ -146,8 +147,8 @@
 		result.Response.Length = resp.ContentLength
 	}
 	select {
-	case err := <-written:
-		mustClose = mustClose || err != nil
+	case <-request.ended:
+		mustClose = mustClose || request.err != nil
 	default:
 		// The server responded before it had read the body.
 		mustClose = true
@@ -160,37 +161,6 @@
 	return result
 }
 
-// sendRequest writes the header and the body. A body longer than maxInlineBody is written
-// in a goroutine of its own, while the response is read. The channel receives the error
-// of that goroutine, or nil when the writing succeeded.
-func (c *serverConn) sendRequest(header *bytes.Buffer, body []byte) (<-chan error, error) {
-	done := make(chan error, 1)
-	if len(body) <= maxInlineBody {
-		header.Write(body)
-		n, err := c.raw.Write(header.Bytes())
-		buffers.Put(header)
-		done <- nil
-		if err != nil && n == 0 {
-			return done, fmt.Errorf("%w: %w", errNothingSent, err)
-		}
-
-		return done, err //nolint:wrapcheck // The caller adds the context.
-	}
-	go func() {
-		_, err := c.raw.Write(header.Bytes())
-		if err == nil {
-			_, err = c.raw.Write(body)
-		}
-		buffers.Put(header)
-		done <- err
-	}()
-
-	return done, nil
-}
-
-// errNothingSent means that the connection took no byte of a request.
-var errNothingSent = errors.New("no byte was sent")
-
 // encodeHeader returns the request line and the header for a server, with the time left
 // until the deadline of ctx.
 func (p *Pool) encodeHeader(ctx context.Context, to Target, r *Request) *bytes.Buffer {
