Refuse responses whose head has a broken line

Callers saw: a server in trouble sent an answer in whose head the name of a field held a blank ("X A: b", "X-A : b"). The caller got it as an answer with that line, or, after "Content-Length : 2" or "Transfer-Encoding : chunked", with a body that was not the server's.

Cause: net/http takes a blank in a field's name as a part of the name, so a field that frames the body goes unnoticed. It also joins a line that begins with a blank to the value before it.

Change: wire/http scans the bytes of a head as they are read; wire/http1 ends the connection at a name with a byte that no name may hold, and the request counts as one that may have run. A line that begins with a blank is refused too: a value that goes on, which RFC 9112 lets no server send, looks like a field whose name begins with a blank, and may hide the length. The bytes of a head that were read with the response before it are now checked and counted as well.

--- a/internal/run/direct/broken_test.go
+++ b/internal/run/direct/broken_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -42,7 +43,7 @@
 		}
 	}()
 
-	return steer.Server{Address: l.Addr().String(), Service: "s", Zone: "z1", Region: "r", Slots: 4}
+	return steer.Server{ID: "broken", Address: l.Addr().String(), Service: "s", Zone: "z1", Region: "r", Slots: 4}
 }
 
 // upload sends a request with a body of 4 MB. It returns the status of the response if the
@@ -95,3 +96,24 @@
 		})
 	}
 }
+
+// Guards against an answer with a broken head that reaches the caller. Its server may have run
+// the request, so the caller gets a 502.
+func TestBrokenHeadIsNoAnswer(t *testing.T) {
+	t.Parallel()
+	for i, broken := range []string{
+		"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nX A: b\r\nContent-Length: 2\r\n\r\nok",
+		"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nX\x01A: b\r\nContent-Length: 2\r\n\r\nok",
+		"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nContent-Length : 1\r\n\r\nok",
+		"HTTP/1.1 000 OK\r\nRequest-Id: %s\r\nContent-Length: 2\r\n\r\nok",
+		"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nContent-Le",
+	} {
+		t.Run(broken, func(t *testing.T) {
+			t.Parallel()
+			e := startEntryVM(t, newDeployment(startBrokenServer(t, broken)), fmt.Sprint("127.0.0.", 232+i), time.Second)
+			waitUntilReady(t, e)
+			resp, body := sendRequest(t, e.address, http.MethodPost, "/write/1")
+			require.Equal(t, http.StatusBadGateway, resp.StatusCode, "%q", body)
+		})
+	}
+}
--- /dev/null
+++ b/internal/wire/http/head.go
@@ -0,0 +1,112 @@
+// Package http refuses responses over HTTP/1 that net/http accepts although they are broken.
+// A server in trouble may send them; what its caller gets would differ from what it meant.
+package http
+
+import (
+	"bytes"
+	"errors"
+
+	"golang.org/x/net/http/httpguts"
+)
+
+// Errors of broken heads.
+var (
+	// ErrFieldName means that the name of a field holds a byte that no name may hold, or
+	// that a line has no colon. A name with a blank may stand for one that frames the body.
+	ErrFieldName = errors.New("response has a malformed field name")
+	// ErrFoldedLine means that a line begins with a blank. It goes on with the value of the
+	// line before, a form that RFC 9112 lets no server send, or it is a field whose name is
+	// broken. Both look the same.
+	ErrFoldedLine = errors.New("response has a line that begins with a blank")
+)
+
+// headPart is what the next byte of a head belongs to.
+type headPart int
+
+const (
+	partStatusLine headPart = iota
+	// partLineStart: the first byte of a field, or the end of the head.
+	partLineStart
+	partName
+	partValue
+	// partLastByte: the line feed that ends the head.
+	partLastByte
+	partEnded
+)
+
+// HeadScanner checks the lines of one head, from the status line to the empty line, for what
+// net/http accepts although it is broken. It leaves all else to net/http.
+type HeadScanner struct {
+	part headPart
+	// lines counts the lines before the empty one.
+	lines int
+}
+
+// Scan checks the next bytes and returns how many of them belong to the head and are not
+// broken. It returns less than all at the end of the head, or with an error.
+func (s *HeadScanner) Scan(p []byte) (int, error) {
+	for i := 0; i < len(p); i++ {
+		switch s.part {
+		case partEnded:
+			return i, nil
+		case partStatusLine, partValue:
+			length := bytes.IndexByte(p[i:], '\n')
+			if length < 0 {
+				return len(p), nil
+			}
+			i += length
+			s.part = partLineStart
+			s.lines++
+		default:
+			if err := s.next(p[i]); err != nil {
+				return i, err
+			}
+		}
+	}
+
+	return len(p), nil
+}
+
+// Ended reports whether the head is complete.
+func (s *HeadScanner) Ended() bool {
+	return s.part == partEnded
+}
+
+// Lines returns the number of lines that were scanned, without the empty one.
+func (s *HeadScanner) Lines() int {
+	return s.lines
+}
+
+// next checks one byte of a name, or before or after a field.
+func (s *HeadScanner) next(b byte) error {
+	switch {
+	case s.part == partLineStart:
+		return s.startLine(b)
+	case s.part == partLastByte && b == '\n':
+		s.part = partEnded
+	case s.part == partName && b == ':':
+		s.part = partValue
+	case s.part != partName || !httpguts.IsTokenRune(rune(b)):
+		return ErrFieldName
+	}
+
+	return nil
+}
+
+// startLine checks the first byte of a line.
+func (s *HeadScanner) startLine(b byte) error {
+	switch {
+	case b == '\r':
+		s.part = partLastByte
+	case b == '\n':
+		s.part = partEnded
+	case b == ' ', b == '\t':
+		return ErrFoldedLine
+	case !httpguts.IsTokenRune(rune(b)):
+		return ErrFieldName
+	default:
+		s.part = partName
+	}
+
+	return nil
+}
--- /dev/null
+++ b/internal/wire/http/head_test.go
@@ -0,0 +1,73 @@
+package http_test
+
+import (
+	"bufio"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"golang.org/x/net/http/httpguts"
+
+	wirehttp "github.com/greengagetally/greengagetally/internal/wire/http"
+)
+
+// heads are heads of responses with what the scanner says of them.
+var heads = map[string]error{
+	"HTTP/1.1 200 OK\r\nX-A: b\r\nContent-Length: 2\r\n\r\n": nil,
+	"HTTP/1.1 200 OK\nX-A: b\nContent-Length: 2\n\n":         nil,
+	"HTTP/1.1 200 OK\r\n\r\n":                                nil,
+	"HTTP/1.1 200 OK\r\nX-A:\r\n\r\n":                        nil,
+	"HTTP/1.1 200 OK\r\nX A: b\r\n\r\n":                      wirehttp.ErrFieldName,
+	"HTTP/1.1 200 OK\r\nX-A : b\r\n\r\n":                     wirehttp.ErrFieldName,
+	"HTTP/1.1 200 OK\r\nX-A\r\n\r\n":                         wirehttp.ErrFieldName,
+	"HTTP/1.1 200 OK\r\n: b\r\n\r\n":                         wirehttp.ErrFieldName,
+	"HTTP/1.1 200 OK\r\nX-A: b\r\n\rX-C: d\r\n\r\n":          wirehttp.ErrFieldName,
+	"HTTP/1.1 200 OK\r\nX-\x80A: b\r\n\r\n":                  wirehttp.ErrFieldName,
+	"HTTP/1.1 200 OK\r\nX-A: b\r\n c\r\n\r\n":                wirehttp.ErrFoldedLine,
+	"HTTP/1.1 200 OK\r\nX-A: b\r\n\tX-C: d\r\n\r\n":          wirehttp.ErrFoldedLine,
+}
+
+// Guards against a broken head that passes because it comes in pieces.
+func TestHeadInPieces(t *testing.T) {
+	t.Parallel()
+	for head, want := range heads {
+		for cut := range len(head) {
+			var s wirehttp.HeadScanner
+			n, err := s.Scan([]byte(head[:cut]))
+			if err == nil {
+				require.Equal(t, cut, n)
+				require.False(t, s.Ended(), "%q after %d", head, cut)
+				_, err = s.Scan([]byte(head[cut:]))
+			}
+			require.ErrorIs(t, err, want, "%q cut after %d", head, cut)
+			require.Equal(t, want == nil, s.Ended(), "%q", head)
+		}
+	}
+}
+
+// FuzzHeadEndsWhereNetHTTPEndsIt guards against a head whose end the scanner sees elsewhere
+// than net/http, so that a part of it is not checked, and against names that pass.
+func FuzzHeadEndsWhereNetHTTPEndsIt(f *testing.F) {
+	for head := range heads {
+		f.Add(head + "body")
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		var s wirehttp.HeadScanner
+		n, err := s.Scan([]byte(text))
+		in := bufio.NewReader(strings.NewReader(text))
+		resp, parseErr := http.ReadResponse(in, &http.Request{Method: http.MethodHead})
+		if err != nil || parseErr != nil {
+			return
+		}
+		defer func() { _ = resp.Body.Close() }()
+		require.True(t, s.Ended())
+		rest, err := io.ReadAll(in)
+		require.NoError(t, err)
+		require.Equal(t, text[n:], string(rest))
+		for name := range resp.Header {
+			require.True(t, httpguts.ValidHeaderFieldName(name), "%q", name)
+		}
+	})
+}
--- a/internal/wire/http1/response.go
+++ b/internal/wire/http1/response.go
@@ -40,7 +40,11 @@
 // readHead reads the status line and the header of a response. Reading its body is not
 // limited; net/http bounds the chunk headers and the trailer of a chunked body itself.
 func (c *serverConn) readHead(r *http.Request, held *reservation) (*http.Response, error) {
-	c.head.begin(func() bool { return held.takeOnce(longHeadMemory) })
+	// The start of a head that follows another response may have been read with it.
+	first, _ := c.reader.Peek(c.reader.Buffered())
+	if err := c.head.begin(first, func() bool { return held.takeOnce(longHeadMemory) }); err != nil {
+		return nil, err
+	}
 	resp, err := http.ReadResponse(c.reader, r)
 	c.head.end()
 	if err != nil {
