Refuse a response of HTTP/1.0 with a transfer encoding

Callers saw (found while checking related paths, not reported): after an answer of HTTP/1.0 with "Transfer-Encoding: chunked" the caller got the sizes of the chunks as a part of the body.

Cause: net/http ignores a transfer encoding in HTTP/1.0 and removes the field, so the body ends with the connection. RFC 9112, section 6.1, has such a message taken for one with faulty framing.

Change: the scanner of heads refuses it, also with a length beside it.

--- a/internal/wire/http/head.go
+++ b/internal/wire/http/head.go
@@ -18,6 +18,14 @@
 	// line before, a form that RFC 9112 lets no server send, or it is a field whose name is
 	// broken. Both look the same.
 	ErrFoldedLine = errors.New("response has a line that begins with a blank")
+	// ErrFraming means that a response of HTTP/1.0 has a transfer encoding. That version has
+	// none, so net/http would take the sizes of the chunks for a part of the body.
+	ErrFraming = errors.New("response of HTTP/1.0 has a transfer encoding")
+)
+
+const (
+	oldVersion       = "HTTP/1.0"
+	transferEncoding = "transfer-encoding"
 )
 
 // headPart is what the next byte of a head belongs to.
@@ -40,6 +48,12 @@
 	part headPart
 	// lines counts the lines before the empty one.
 	lines int
+	// version is the start of the status line, of which versionBytes have been scanned.
+	version      [len(oldVersion)]byte
+	versionBytes int
+	// matched is how many bytes of the name agree with transferEncoding, or -1 once one does
+	// not.
+	matched int
 }
 
 // Scan checks the next bytes and returns how many of them belong to the head and are not
@@ -50,6 +64,9 @@
 		case partEnded:
 			return i, nil
 		case partStatusLine, partValue:
+			if s.part == partStatusLine {
+				s.versionBytes += copy(s.version[s.versionBytes:], p[i:])
+			}
 			length := bytes.IndexByte(p[i:], '\n')
 			if length < 0 {
 				return len(p), nil
@@ -86,13 +103,31 @@
 		s.part = partEnded
 	case s.part == partName && b == ':':
 		s.part = partValue
+		if s.matched == len(transferEncoding) && string(s.version[:]) == oldVersion {
+			return ErrFraming
+		}
 	case s.part != partName || !httpguts.IsTokenRune(rune(b)):
 		return ErrFieldName
+	default:
+		s.matchName(b)
 	}
 
 	return nil
 }
 
+// matchName compares the next byte of a name with transferEncoding.
+func (s *HeadScanner) matchName(b byte) {
+	const toLower = 'a' - 'A'
+	if b >= 'A' && b <= 'Z' {
+		b += toLower
+	}
+	if s.matched >= 0 && s.matched < len(transferEncoding) && transferEncoding[s.matched] == b {
+		s.matched++
+	} else {
+		s.matched = -1
+	}
+}
+
 // startLine checks the first byte of a line.
 func (s *HeadScanner) startLine(b byte) error {
 	switch {
@@ -105,7 +140,8 @@
 	case !httpguts.IsTokenRune(rune(b)):
 		return ErrFieldName
 	default:
-		s.part = partName
+		s.part, s.matched = partName, 0
+		s.matchName(b)
 	}
 
 	return nil
--- a/internal/wire/http/head_test.go
+++ b/internal/wire/http/head_test.go
@@ -25,6 +25,10 @@
 	"HTTP/1.1 200 OK\r\n: b\r\n\r\n":                         wirehttp.ErrFieldName,
 	"HTTP/1.1 200 OK\r\nX-A: b\r\n\rX-C: d\r\n\r\n":          wirehttp.ErrFieldName,
 	"HTTP/1.1 200 OK\r\nX-\x80A: b\r\n\r\n":                  wirehttp.ErrFieldName,
+	"HTTP/1.0 200 OK\r\ntransfer-Encoding: chunked\r\n\r\n":  wirehttp.ErrFraming,
+	"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n":  nil,
+	"HTTP/1.0 200 OK\r\nTransfer-Encodings: chunked\r\n\r\n": nil,
+	"HTTP/1.0 200 OK\r\nTransfer: chunked\r\n\r\n":           nil,
 	"HTTP/1.1 200 OK\r\nX-A: b\r\n c\r\n\r\n":                wirehttp.ErrFoldedLine,
 	"HTTP/1.1 200 OK\r\nX-A: b\r\n\tX-C: d\r\n\r\n":          wirehttp.ErrFoldedLine,
 }
