Tests: keep the port of a refused connection

Cause: three tests take the port of a listener that they have just closed for one that refuses connections. The kernel may give it to the next listener of the tests beside them. TestOutcomeOfBackendFailures failed in 56 of 200 runs on on this machine, also TestWriteErrors once in 20 runs of its package.

Change: lab/port binds a port without listening on it until the test ends. The checks are the same.

--- a/internal/run/process/answer_test.go
+++ b/internal/run/process/answer_test.go
@@ -15,6 +15,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"github.com/greengagetally/greengagetally/internal/lab/port"
 )
 
 // rawBackend starts a server and returns its address. The server answers each request
@@ -154,16 +156,16 @@
 // first byte of a request is sent to it.
 func TestOutcomeOfBackendFailures(t *testing.T) {
 	t.Parallel()
-	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	refusing, free, err := port.Refusing()
 	require.NoError(t, err)
-	require.NoError(t, closed.Close())
+	t.Cleanup(free)
 	for _, c := range []struct {
 		name    string
 		address string
 		status  int
 		outcome string
 	}{
-		{"refused connection", closed.Addr().String(), http.StatusServiceUnavailable, "not-run"},
+		{"refused connection", refusing, http.StatusServiceUnavailable, "not-run"},
 		{"closed without response", rawBackend(t, func(*http.Request) (string, bool) { return "", true }), http.StatusBadGateway, "unknown"},
 		{"malformed response", rawBackend(t, func(*http.Request) (string, bool) { return "BANANA\r\n\r\n", true }), http.StatusBadGateway, "unknown"},
 		{"refused by the backend server", rawBackend(t, func(*http.Request) (string, bool) {
--- a/internal/wire/http1/pool_test.go
+++ b/internal/wire/http1/pool_test.go
@@ -16,6 +16,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/greengagetally/greengagetally/internal/lab/port"
 	"github.com/greengagetally/greengagetally/internal/wire/http1"
 )
 
@@ -146,10 +147,10 @@
 // have run.
 func TestRefusedConnectionIsNotSent(t *testing.T) {
 	t.Parallel()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	refusing, free, err := port.Refusing()
 	require.NoError(t, err)
-	require.NoError(t, l.Close())
-	require.Equal(t, http1.NotSent, do(t, http1.NewPool(testNames, testResponseMemory), l.Addr().String(), "1").Outcome)
+	t.Cleanup(free)
+	require.Equal(t, http1.NotSent, do(t, http1.NewPool(testNames, testResponseMemory), refusing, "1").Outcome)
 }
 
 // Guards against a new connection for every request, and against requests that arrive
--- a/internal/wire/platform/client_test.go
+++ b/internal/wire/platform/client_test.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/greengagetally/greengagetally/internal/lab/port"
 	"github.com/greengagetally/greengagetally/internal/steer/event"
 )
 
@@ -62,10 +62,10 @@
 	})
 	t.Run("no connection", func(t *testing.T) {
 		t.Parallel()
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		refusing, free, err := port.Refusing()
 		require.NoError(t, err)
-		require.NoError(t, l.Close())
-		client := newClient(t, "http://"+l.Addr().String())
+		t.Cleanup(free)
+		client := newClient(t, "http://"+refusing)
 		_, err = client.Write(context.Background(), "a", 0, nil)
 		require.ErrorIs(t, err, ErrRefused)
 		_, err = client.Read(context.Background(), "a")
