greengagetally entry: refuse responses whose head has a broken line

Cause: wire/backend reads responses with http.Transport, which takes blanks in names, joins lines that begin with a blank, and ignores a transfer encoding in HTTP/1.0.

Change: connections to backend servers are a wire/http.Conn, which scans the heads that http.Transport reads, after it is told that a response follows; Transport tells it. The scanner checks the status line too, which takes the place of two checks of the parsed status. So a second blank before the status is refused now as well. Closing waits for the server on the raw connection.

--- a/internal/run/process/answer_test.go
+++ b/internal/run/process/answer_test.go
@@ -168,6 +168,16 @@
 		{"refused connection", refusing, http.StatusServiceUnavailable, "not-run"},
 		{"closed without response", rawBackend(t, func(*http.Request) (string, bool) { return "", true }), http.StatusBadGateway, "unknown"},
 		{"malformed response", rawBackend(t, func(*http.Request) (string, bool) { return "BANANA\r\n\r\n", true }), http.StatusBadGateway, "unknown"},
+		{"blank in the name of a field", rawBackend(t, func(*http.Request) (string, bool) {
+			return "HTTP/1.1 200 OK\r\nX A: b\r\nContent-Length: 2\r\n\r\nok", false
+		}), http.StatusBadGateway, "unknown"},
+		{"control byte in the name of a field", rawBackend(t, func(*http.Request) (string, bool) {
+			return "HTTP/1.1 200 OK\r\nX\x01A: b\r\nContent-Length: 2\r\n\r\nok", false
+		}), http.StatusBadGateway, "unknown"},
+		{"status 000", rawBackend(t, func(*http.Request) (string, bool) {
+			return "HTTP/1.1 000 None\r\nContent-Length: 2\r\n\r\nok", false
+		}), http.StatusBadGateway, "unknown"},
+		{"head that stops", rawBackend(t, func(*http.Request) (string, bool) { return "HTTP/1.1 200 OK\r\nContent-Len", true }), http.StatusBadGateway, "unknown"},
 		{"refused by the backend server", rawBackend(t, func(*http.Request) (string, bool) {
 			return "HTTP/1.1 503 Busy\r\nGreengagetally-Outcome: not-run\r\nContent-Length: 0\r\n\r\n", false
 		}), http.StatusServiceUnavailable, "not-run"},
--- a/internal/wire/backend/conn.go
+++ b/internal/wire/backend/conn.go
@@ -6,6 +6,8 @@
 	"net"
 	"sync"
 	"time"
+
+	wirehttp "github.com/greengagetally/greengagetally/internal/wire/http"
 )
 
 // lingerTimeout bounds the wait for a backend server to close its side of a
@@ -20,7 +22,7 @@
 // and its response) after another. It counts the bytes, so that a request is
 // reported as not sent only when the operating system accepted none of its bytes.
 type conn struct {
-	net.Conn
+	*wirehttp.Conn
 
 	// release frees the connection's place under the limit of its address.
 	release   func()
@@ -196,12 +198,13 @@
 	defer func() { _ = c.Conn.Close() }()
 	c.readMu.Lock()
 	defer c.readMu.Unlock()
-	writer, ok := c.Conn.(interface{ CloseWrite() error })
+	raw := c.Conn.Conn
+	writer, ok := raw.(interface{ CloseWrite() error })
 	if !ok || writer.CloseWrite() != nil {
 		return
 	}
 	if c.SetReadDeadline(time.Now().Add(lingerTimeout)) != nil { //nolint:forbidigo // Deadlines of connections are wall-clock times.
 		return
 	}
-	_, _ = io.Copy(io.Discard, c.Conn)
+	_, _ = io.Copy(io.Discard, raw)
 }
--- a/internal/wire/backend/transport.go
+++ b/internal/wire/backend/transport.go
@@ -11,6 +11,8 @@
 	"net/http/httptrace"
 	"sync"
 	"time"
+
+	wirehttp "github.com/greengagetally/greengagetally/internal/wire/http"
 )
 
 // Limits of connections to backend servers.
@@ -35,7 +37,7 @@
 // Transport is the HTTP/1.1 transport to the backend servers of a region. It
 // limits and counts the connections to each address.
 type Transport struct {
-	http   *http.Transport
+	http   wirehttp.Transport
 	dialer net.Dialer
 
 	mu sync.Mutex
@@ -52,7 +54,7 @@
 		openCounts: map[string]int{},
 		limits:     map[string]int{},
 	}
-	t.http = &http.Transport{
+	t.http = wirehttp.Transport{Transport: &http.Transport{
 		DialContext:            t.dial,
 		DisableCompression:     true,
 		MaxIdleConns:           0,
@@ -62,7 +64,7 @@
 		// Backend servers speak HTTP/1.1; an upgrade to another protocol is never
 		// offered.
 		Protocols: http1Only(),
-	}
+	}}
 
 	return t
 }
@@ -109,7 +111,7 @@
 		return nil, fmt.Errorf("connect to backend server: %w", err)
 	}
 
-	return &conn{Conn: raw, release: func() { t.release(address) }, lingerEnded: make(chan struct{})}, nil
+	return &conn{Conn: wirehttp.NewConn(raw), release: func() { t.release(address) }, lingerEnded: make(chan struct{})}, nil
 }
 
 // acquire counts one more connection to the address, or returns false if the address
@@ -155,9 +157,8 @@
 }
 
 // errUnusableResponse is returned instead of a response that belongs to an earlier
-// request, has a status below 100, which net/http accepts, or has status 101, which
-// switches the protocol.
-var errUnusableResponse = errors.New("response began before the request was sent, has no HTTP status, or switches the protocol")
+// request, or has status 101, which switches the protocol.
+var errUnusableResponse = errors.New("response began before the request was sent, or switches the protocol")
 
 // Do sends the request; onFirstByte is called before the first byte of the request is
 // written, and cancel must end the context of the request. The response body must be
@@ -173,7 +174,7 @@
 	req = req.WithContext(httptrace.WithClientTrace(req.Context(), trace))
 	lowercaseIdempotencyKeys(req.Header)
 	resp, err := t.http.RoundTrip(req)
-	if err == nil && (trip.isLeftover() || resp.StatusCode < http.StatusContinue || resp.StatusCode == http.StatusSwitchingProtocols) {
+	if err == nil && (trip.isLeftover() || resp.StatusCode == http.StatusSwitchingProtocols) {
 		// What follows on the connection may belong to this response.
 		trip.Abort()
 		_ = resp.Body.Close()
--- a/internal/wire/http/head.go
+++ b/internal/wire/http/head.go
@@ -11,6 +11,9 @@
 
 // Errors of broken heads.
 var (
+	// ErrStatusLine means that a response does not begin with a version of HTTP/1, a blank and
+	// a status from 100 to 999.
+	ErrStatusLine = errors.New("response has no valid status line")
 	// ErrFieldName means that the name of a field holds a byte that no name may hold, or
 	// that a line has no colon. A name with a blank may stand for one that frames the body.
 	ErrFieldName = errors.New("response has a malformed field name")
@@ -26,6 +29,8 @@
 const (
 	oldVersion       = "HTTP/1.0"
 	transferEncoding = "transfer-encoding"
+	// statusEnd is where the status ends in a status line.
+	statusEnd = len("HTTP/1.1 200")
 )
 
 // headPart is what the next byte of a head belongs to.
@@ -48,9 +53,10 @@
 	part headPart
 	// lines counts the lines before the empty one.
 	lines int
-	// version is the start of the status line, of which versionBytes have been scanned.
-	version      [len(oldVersion)]byte
-	versionBytes int
+	// status is the status line without the reason phrase, of which statusBytes have been
+	// scanned.
+	status      [statusEnd]byte
+	statusBytes int
 	// matched is how many bytes of the name agree with transferEncoding, or -1 once one does
 	// not.
 	matched int
@@ -64,10 +70,13 @@
 		case partEnded:
 			return i, nil
 		case partStatusLine, partValue:
+			length := bytes.IndexByte(p[i:], '\n')
 			if s.part == partStatusLine {
-				s.versionBytes += copy(s.version[s.versionBytes:], p[i:])
+				s.statusBytes += copy(s.status[s.statusBytes:], p[i:])
+				if length >= 0 && !s.hasStatus() {
+					return i, ErrStatusLine
+				}
 			}
-			length := bytes.IndexByte(p[i:], '\n')
 			if length < 0 {
 				return len(p), nil
 			}
@@ -89,6 +98,25 @@
 	return s.part == partEnded
 }
 
+// Interim reports whether another head follows this one, because the response is an interim
+// one. Switching protocols ends an exchange over HTTP/1.
+func (s *HeadScanner) Interim() bool {
+	code := string(s.status[len("HTTP/1.1 "):])
+
+	return s.Ended() && code[0] == '1' && code != "101"
+}
+
+// hasStatus reports whether the status line has a version and a status. net/http checks what
+// follows them.
+func (s *HeadScanner) hasStatus() bool {
+	const minor, code = len("HTTP/1."), len("HTTP/1.1 ")
+	isDigit := func(b byte) bool { return b >= '0' && b <= '9' }
+	c := s.status[code:]
+
+	return string(s.status[:minor]) == "HTTP/1." && isDigit(s.status[minor]) && s.status[code-1] == ' ' &&
+		c[0] != '0' && isDigit(c[0]) && isDigit(c[1]) && isDigit(c[2])
+}
+
 // Lines returns the number of lines that were scanned, without the empty one.
 func (s *HeadScanner) Lines() int {
 	return s.lines
@@ -103,7 +131,7 @@
 		s.part = partEnded
 	case s.part == partName && b == ':':
 		s.part = partValue
-		if s.matched == len(transferEncoding) && string(s.version[:]) == oldVersion {
+		if s.matched == len(transferEncoding) && string(s.status[:len(oldVersion)]) == oldVersion {
 			return ErrFraming
 		}
 	case s.part != partName || !httpguts.IsTokenRune(rune(b)):
--- a/internal/wire/http1/response.go
+++ b/internal/wire/http1/response.go
@@ -50,17 +50,10 @@
 	if err != nil {
 		return nil, err //nolint:wrapcheck // The callers add the context.
 	}
-	if resp.ProtoMajor != 1 || resp.StatusCode < http.StatusContinue {
-		return nil, fmt.Errorf("%q %q: %w", resp.Proto, resp.Status, errNoStatusLine)
-	}
 
 	return resp, nil
 }
 
-// errNoStatusLine means that a response does not begin with a status line of HTTP/1: its
-// status is below 100, or its protocol is another one. net/http accepts both.
-var errNoStatusLine = errors.New("response has no valid status line")
-
 // errNoMatchingResponse means that an attempt found no response to its own request. All
 // responses that it read were interim ones or belong to other requests, or the server
 // switched the protocol.
