greengagetally entry: report a reset that only the writer learns of

Callers saw: as with greengagetally-platform, a part of a body without a length could reach the caller of greengagetally entry as a whole answer when the server reset the connection during the upload.

Cause: the kernel reports a reset once. http.Transport writes the request in a goroutine of its own; if that takes the error first, its reader sees an end of file, which ends the body.

Change: a wire/http.Conn reports an end of the connection after the head of a response only when no write is in progress, and as an error if a write has failed. Before a response there is nothing that the end could complete, so it is reported at once.

--- a/internal/wire/backend/broken_test.go
+++ b/internal/wire/backend/broken_test.go
@@ -8,8 +8,10 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 )
 
@@ -108,3 +110,21 @@
 		}
 	}
 }
+
+// Guards against a part of a body that looks whole: a server answers a long upload at once,
+// without a length, and resets the connection while the upload is being written. The kernel
+// reports a reset once, so the writer may take the error, and the reader sees an orderly end.
+func TestResetDuringUploadEndsNoBody(t *testing.T) {
+	t.Parallel()
+	const tries = 33
+	for _, part := range []int{1, 1 << 10, 300 << 10} {
+		address := startRawServer(t, "HTTP/1.1 200 OK\r\n\r\n"+strings.Repeat("x", part), true)
+		transport, whole := NewTransport(), 0
+		for range tries {
+			if _, err := exchange(t, transport, address, make([]byte, 8<<20)); err == nil {
+				whole++
+			}
+		}
+		assert.Zero(t, whole, "parts of %d bytes taken for a whole body, of %d", part, tries)
+	}
+}
--- a/internal/wire/http/conn.go
+++ b/internal/wire/http/conn.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -10,12 +12,17 @@
 )
 
 // Conn is a connection over which net/http sends requests. It fails reads that would let
-// net/http take a broken response for an answer: in a head that HeadScanner refuses.
+// net/http take a broken response for an answer: in a head that HeadScanner refuses, and at
+// an end of the connection that follows a failed write.
 type Conn struct {
 	net.Conn
 
-	// mu guards the fields below.
-	mu sync.Mutex
+	// mu guards the fields below. written is signalled when writing changes.
+	mu      sync.Mutex
+	written *sync.Cond
+	// writing counts the writes in progress. writeErr is why one has failed, or nil.
+	writing  int
+	writeErr error
 	// scanning is true until the end of the head that scanner scans.
 	scanning bool
 	scanner  HeadScanner
@@ -23,7 +30,10 @@
 
 // NewConn returns a Conn over raw.
 func NewConn(raw net.Conn) *Conn {
-	return &Conn{Conn: raw}
+	c := &Conn{Conn: raw}
+	c.written = sync.NewCond(&c.mu)
+
+	return c
 }
 
 // BeginResponse expects a response: what is read next is its head.
@@ -36,10 +46,13 @@
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	n, headErr := c.scan(p[:n])
-	if headErr != nil {
+	switch {
+	case headErr != nil:
 		// What was read before the broken byte is returned too, so that net/http does not
 		// send the request again as if there was no response.
 		return n, fmt.Errorf("read head of response: %w", headErr)
+	case errors.Is(err, io.EOF):
+		return n, c.end()
 	}
 
 	return n, err //nolint:wrapcheck // A connection returns the error as it is.
@@ -63,6 +76,41 @@
 	return len(p), nil
 }
 
+// end returns the error with which the connection ends. The kernel reports a reset once only,
+// and while it tells a writer, the reader sees an orderly end, which may end a body. So an end
+// after the head of a response counts once nothing is being written.
+func (c *Conn) end() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.scanning {
+		return io.EOF
+	}
+	for c.writing > 0 {
+		c.written.Wait()
+	}
+	if c.writeErr != nil {
+		return fmt.Errorf("connection ended after a failed write: %w", c.writeErr)
+	}
+
+	return io.EOF
+}
+
+func (c *Conn) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	c.writing++
+	c.mu.Unlock()
+	n, err := c.Conn.Write(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writing--
+	if err != nil {
+		c.writeErr = err
+	}
+	c.written.Broadcast()
+
+	return n, err //nolint:wrapcheck // A connection returns the error as it is.
+}
+
 // DialFunc opens a connection.
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
