Tests: one server and one list of broken responses

Cause: more readers of responses are to be tested with the same broken responses. Change: lab/broken sends them; the tests of wire/backend and run/direct use it and gain the rows that they lacked (bodies that stop, chunks that stop, status 099, a sign, no colon).

--- a/internal/run/direct/broken_test.go
+++ b/internal/run/direct/broken_test.go
@@ -1,12 +1,10 @@
 package direct_test
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -14,36 +12,22 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/greengagetally/greengagetally/internal/lab/broken"
 	"github.com/greengagetally/greengagetally/internal/run/direct"
 	steer "github.com/greengagetally/greengagetally/internal/steer/direct"
 )
 
-// startBrokenServer starts a server that reads the head of each request and resets the
-// connection after it has sent a response; "%s" in it stands for the request's identifier.
-func startBrokenServer(t *testing.T, response string) steer.Server {
+// startBrokenServer starts a server that reads the head of each request, sends a response and
+// ends the connection; "%s" in the response stands for the request's identifier.
+func startBrokenServer(t *testing.T, response string, end broken.End) steer.Server {
 	t.Helper()
-	l, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	address, stop, err := broken.Start(end, func(r *http.Request) string {
+		return strings.ReplaceAll(response, "%s", r.Header.Get(names.RequestID))
+	})
 	require.NoError(t, err)
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.AcceptTCP()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = c.Close() }()
-				r, err := http.ReadRequest(bufio.NewReader(c))
-				if err != nil {
-					return
-				}
-				_, _ = io.WriteString(c, strings.ReplaceAll(response, "%s", r.Header.Get(names.RequestID)))
-				_ = c.SetLinger(0)
-			}()
-		}
-	}()
+	t.Cleanup(stop)
 
-	return steer.Server{ID: "broken", Address: l.Addr().String(), Service: "s", Zone: "z1", Region: "r", Slots: 4}
+	return steer.Server{ID: "broken", Address: address, Service: "s", Zone: "z1", Region: "r", Slots: 4}
 }
 
 // upload sends a request with a body of 4 MB. It returns the status of the response if the
@@ -79,7 +63,7 @@
 			t.Parallel()
 			var servers []steer.Server
 			for k := range 4 {
-				s := startBrokenServer(t, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n\r\n"+strings.Repeat("x", part))
+				s := startBrokenServer(t, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n\r\n"+strings.Repeat("x", part), broken.Reset)
 				s.ID = fmt.Sprint("broken-", k)
 				servers = append(servers, s)
 			}
@@ -97,20 +81,17 @@
 	}
 }
 
-// Guards against an answer with a broken head that reaches the caller. Its server may have run
-// the request, so the caller gets a 502.
-func TestBrokenHeadIsNoAnswer(t *testing.T) {
+// Guards against a broken answer that reaches the caller. Its server may have run the request,
+// so the caller gets a 502.
+func TestBrokenAnswerReachesNoCaller(t *testing.T) {
 	t.Parallel()
-	for i, broken := range []string{
-		"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nX A: b\r\nContent-Length: 2\r\n\r\nok",
-		"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nX\x01A: b\r\nContent-Length: 2\r\n\r\nok",
-		"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nContent-Length : 1\r\n\r\nok",
-		"HTTP/1.1 000 OK\r\nRequest-Id: %s\r\nContent-Length: 2\r\n\r\nok",
-		"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nContent-Le",
-	} {
-		t.Run(broken, func(t *testing.T) {
+	next := 0
+	for name, response := range broken.Responses("Request-Id: %s\r\n", "ok") {
+		next++
+		ip := fmt.Sprint("127.0.7.", next)
+		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			e := startEntryVM(t, newDeployment(startBrokenServer(t, broken)), fmt.Sprint("127.0.0.", 232+i), time.Second)
+			e := startEntryVM(t, newDeployment(startBrokenServer(t, response, broken.Close)), ip, time.Second)
 			waitUntilReady(t, e)
 			resp, body := sendRequest(t, e.address, http.MethodPost, "/write/1")
 			require.Equal(t, http.StatusBadGateway, resp.StatusCode, "%q", body)
--- a/internal/wire/backend/broken_test.go
+++ b/internal/wire/backend/broken_test.go
@@ -1,47 +1,28 @@
 package backend
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"github.com/greengagetally/greengagetally/internal/lab/broken"
 )
 
-// startRawServer starts a server that writes response to each request, of which it reads the
-// head, and closes the connection, or resets it if reset is true.
-func startRawServer(t *testing.T, response string, reset bool) (address string) {
+// startBroken starts a server that writes response to each request and ends the connection.
+func startBroken(t *testing.T, response string, end broken.End) (address string) {
 	t.Helper()
-	l, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	address, stop, err := broken.Start(end, func(*http.Request) string { return response })
 	require.NoError(t, err)
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.AcceptTCP()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = c.Close() }()
-				if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
-					return
-				}
-				_, _ = io.WriteString(c, response)
-				if reset {
-					_ = c.SetLinger(0)
-				}
-			}()
-		}
-	}()
+	t.Cleanup(stop)
 
-	return l.Addr().String()
+	return address
 }
 
 // exchange sends a request with a body and returns the status and body of the response. It
@@ -62,35 +43,21 @@
 	return fmt.Sprintf("%d %q", resp.StatusCode, content), err
 }
 
-// Guards against a response with a broken head that reaches the caller as an answer, or that
-// passes for a probe.
-func TestBrokenHeadsAreRefused(t *testing.T) {
+// Guards against a broken response that reaches the caller as an answer, or that passes for a
+// probe. A probe does not need the body of the health path, but its length.
+func TestBrokenResponsesAreRefused(t *testing.T) {
 	t.Parallel()
-	for _, head := range []string{
-		"HTTP/1.1 200 OK\r\nX A: b\r\nContent-Length: 2\r\n\r\n",
-		"HTTP/1.1 200 OK\r\nX-A : b\r\nContent-Length: 2\r\n\r\n",
-		"HTTP/1.1 200 OK\r\nContent-Length : 1\r\n\r\n",
-		"HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n\r\n",
-		"HTTP/1.1 200 OK\r\nX-A: b\r\n Content-Length: 1\r\n\r\n",
-		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nX A: b\r\n\r\n",
-		"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
-		"HTTP/1.1 200 OK\r\nX\x01A: b\r\nContent-Length: 2\r\n\r\n",
-		"HTTP/1.1 200 OK\r\nX\x7fA: b\r\nContent-Length: 2\r\n\r\n",
-		"HTTP/1.1 200 OK\r\nX-A: b\x00\r\nContent-Length: 2\r\n\r\n",
-		"HTTP/1.1 200 OK\r\n: b\r\nContent-Length: 2\r\n\r\n",
-		"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\n",
-		"HTTP/1.1 000 None\r\nContent-Length: 2\r\n\r\n",
-	} {
-		t.Run(head, func(t *testing.T) {
+	for name, response := range broken.Responses("", "ok") {
+		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			transport, address := NewTransport(), startRawServer(t, head+"ok", false)
+			transport, address := NewTransport(), startBroken(t, response, broken.Close)
 			got, err := exchange(t, transport, address, nil)
 			require.Error(t, err, got)
 			_, healthy, _ := transport.Probe(t.Context(), address)
 			require.False(t, healthy)
 		})
 	}
-	got, err := exchange(t, NewTransport(), startRawServer(t, "HTTP/1.1 200 OK\r\nX-A: b\r\nContent-Length: 2\r\n\r\nok", false), nil)
+	got, err := exchange(t, NewTransport(), startBroken(t, "HTTP/1.1 200 OK\r\nX-A: b\r\nContent-Length: 2\r\n\r\nok", broken.Close), nil)
 	require.NoError(t, err)
 	require.Equal(t, `200 "ok"`, got)
 }
@@ -101,12 +68,12 @@
 	t.Parallel()
 	const head = "HTTP/1.1 200 OK\r\nX-A: b\r\nContent-Length: 0\r\n\r\n"
 	for end := range len(head) {
-		for _, reset := range []bool{false, true} {
-			transport, address := NewTransport(), startRawServer(t, head[:end], reset)
+		for _, how := range []broken.End{broken.Close, broken.Reset} {
+			transport, address := NewTransport(), startBroken(t, head[:end], how)
 			got, err := exchange(t, transport, address, nil)
-			require.Error(t, err, "after %q, reset: %t: %s", head[:end], reset, got)
+			require.Error(t, err, "after %q, end %d: %s", head[:end], how, got)
 			_, healthy, _ := transport.Probe(t.Context(), address)
-			require.False(t, healthy, "after %q, reset: %t", head[:end], reset)
+			require.False(t, healthy, "after %q, end %d", head[:end], how)
 		}
 	}
 }
@@ -118,7 +85,7 @@
 	t.Parallel()
 	const tries = 33
 	for _, part := range []int{1, 1 << 10, 300 << 10} {
-		address := startRawServer(t, "HTTP/1.1 200 OK\r\n\r\n"+strings.Repeat("x", part), true)
+		address := startBroken(t, "HTTP/1.1 200 OK\r\n\r\n"+strings.Repeat("x", part), broken.Reset)
 		transport, whole := NewTransport(), 0
 		for range tries {
 			if _, err := exchange(t, transport, address, make([]byte, 8<<20)); err == nil {
