--- a/internal/run/direct/broken_test.go
+++ b/internal/run/direct/broken_test.go
@@ -88,7 +88,7 @@
 	next := 0
 	for name, response := range broken.Responses("Request-Id: %s\r\n", "ok") {
 		next++
-		ip := fmt.Sprint("127.0.7.", next)
+		ip := fmt.Sprint("127.0.17.", next)
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			e := startEntryVM(t, newDeployment(startBrokenServer(t, response, broken.Close)), ip, time.Second)
