greengagetally entry: refuse broken responses of the platform's service

Cause: the client of the key-value service and the list of VMs reads with http.Transport, which takes heads with blanks in names, joined lines and a transfer encoding in HTTP/1.0. A write could count as done, and a document or list as read. Change: the client uses wire/http.Transport and Conn. Reads fail as unavailable, writes have an unknown outcome, as after a lost answer.

--- a/internal/wire/platform/client.go
+++ b/internal/wire/platform/client.go
@@ -10,6 +10,7 @@
 
 	"github.com/greengagetally/greengagetally/internal/api/platformapi"
 	"github.com/greengagetally/greengagetally/internal/steer/event"
+	wirehttp "github.com/greengagetally/greengagetally/internal/wire/http"
 )
 
 const (
@@ -30,14 +31,17 @@
 // Client implements Store by calls to the platform's HTTP service.
 type Client struct {
 	api  *platformapi.Client
-	http *http.Transport
+	http wirehttp.Transport
 }
 
 var _ Store = (*Client)(nil)
 
 // NewClient returns a client of the service at url; it fails when url is malformed.
 func NewClient(url string) (*Client, error) {
-	transport := &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: 90 * time.Second, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes}
+	transport := wirehttp.Transport{Transport: &http.Transport{
+		DialContext:         wirehttp.Dial(new(net.Dialer).DialContext),
+		MaxIdleConnsPerHost: 4, IdleConnTimeout: 90 * time.Second, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes,
+	}}
 	api, err := platformapi.NewClient(url, platformapi.WithClient(&http.Client{Transport: transport}))
 	if err != nil {
 		return nil, fmt.Errorf("platform client: %w", err)
