Commands: refuse broken responses of entry VMs

Cause: the commands that call entry VMs read with http.Transport, which takes the same broken heads: an operator got a state, and lookup the addresses of entry VMs, from them. Change: both use wire/http.Transport and Conn, the operators' commands over TLS too.

--- a/internal/cli/cmd/cmd_lookup.go
+++ b/internal/cli/cmd/cmd_lookup.go
@@ -4,11 +4,13 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"strings"
 	"time"
 
 	"github.com/greengagetally/greengagetally/internal/api/entryapi"
+	wirehttp "github.com/greengagetally/greengagetally/internal/wire/http"
 )
 
 func lookupCommand() command {
@@ -27,7 +29,11 @@
 	if err := set.parse(env, args); err != nil {
 		return err
 	}
-	client, err := entryapi.NewClient("http://"+address.String(), entryapi.WithClient(&http.Client{Timeout: *timeout}))
+	client, err := entryapi.NewClient("http://"+address.String(), entryapi.WithClient(&http.Client{
+		Timeout: *timeout, Transport: wirehttp.Transport{Transport: &http.Transport{
+			Proxy: http.ProxyFromEnvironment, DialContext: wirehttp.Dial(new(net.Dialer).DialContext),
+		}},
+	}))
 	if err != nil {
 		return fmt.Errorf("lookup client: %w", err)
 	}
--- a/internal/cli/cmd/transport.go
+++ b/internal/cli/cmd/transport.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	wirehttp "github.com/greengagetally/greengagetally/internal/wire/http"
 	wiretls "github.com/greengagetally/greengagetally/internal/wire/tls"
 )
 
@@ -26,21 +27,21 @@
 
 // operatorTransport returns the scheme and the transport for calls to the operator API;
 // ca is the path of a PEM file. The error is a usageError.
-func operatorTransport(ca string, plaintext bool) (string, *http.Transport, error) {
+func operatorTransport(ca string, plaintext bool) (string, http.RoundTripper, error) {
 	switch {
 	case ca == "" && !plaintext:
 		return "", nil, usageError(fmt.Sprintf("--tls-ca or %s is required unless --insecure-plaintext is set: the path of a PEM file", envVariable("tls-ca")))
 	case ca != "" && plaintext:
 		return "", nil, usageError("--tls-ca and --insecure-plaintext: only one of them is expected")
 	case plaintext:
-		return "http", &http.Transport{DialContext: dialMarkingErrors(&net.Dialer{})}, nil
+		return "http", wirehttp.Transport{Transport: &http.Transport{DialContext: dialMarkingErrors(&net.Dialer{})}}, nil
 	}
 	config, err := wiretls.OperatorClient(ca)
 	if err != nil {
 		return "", nil, usageError(fmt.Sprintf("--tls-ca %q: %s", ca, err))
 	}
 
-	return "https", &http.Transport{DialTLSContext: dialMarkingErrors(&tls.Dialer{Config: config})}, nil
+	return "https", wirehttp.Transport{Transport: &http.Transport{DialTLSContext: dialMarkingErrors(&tls.Dialer{Config: config})}}, nil
 }
 
 // dialMarkingErrors returns a function that dials with d and wraps errors in
@@ -49,8 +50,8 @@
 func dialMarkingErrors(d interface {
 	DialContext(ctx context.Context, network, address string) (net.Conn, error)
 },
-) func(ctx context.Context, network, address string) (net.Conn, error) {
-	return func(ctx context.Context, network, address string) (net.Conn, error) {
+) wirehttp.DialFunc {
+	return wirehttp.Dial(func(ctx context.Context, network, address string) (net.Conn, error) {
 		ctx, cancel := context.WithTimeout(ctx, connectTimeout)
 		defer cancel()
 		conn, err := d.DialContext(ctx, network, address)
@@ -59,5 +60,5 @@
 		}
 
 		return conn, nil
-	}
+	})
 }
