greengagetally entry: refuse carried responses without an HTTP status

Cause: over HTTP/2 net/http takes any number for a status (000, 099, +200, 2000) and ignores several lengths. wire/caller passed them on to the HTTP server, which ends the caller's connection by a panic for a number out of range. Change: Carrier.Send refuses them, so that the attempt counts as broken and the caller gets a 502, or another attempt. Names, values, heads and bodies that stop are checked by net/http for HTTP/2.

--- a/internal/wire/caller/carry.go
+++ b/internal/wire/caller/carry.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -27,7 +28,11 @@
 	carryIdleTimeout = 2 * time.Minute
 )
 
-var errWrongVM = errors.New("connection leads to another VM")
+var (
+	errWrongVM = errors.New("connection leads to another VM")
+	// errUnusableResponse is returned instead of a response that is not usable.
+	errUnusableResponse = errors.New("response has no valid status or several lengths")
+)
 
 // Carrier carries requests: it sends them over HTTP/2 to other entry VMs, which serve
 // them.
@@ -131,6 +136,10 @@
 		},
 	}
 	resp, err := c.http.RoundTrip(req.WithContext(httptrace.WithClientTrace(ctx, trace)))
+	if err == nil && !isUsable(resp) {
+		_ = resp.Body.Close()
+		err = errUnusableResponse
+	}
 	if err != nil {
 		if wrongVM.Load() {
 			err = errWrongVM
@@ -141,3 +150,11 @@
 
 	return resp, trip, nil
 }
+
+// isUsable checks what net/http leaves open for HTTP/2: whether the status is one, of three
+// digits, and whether there is more than one length.
+func isUsable(resp *http.Response) bool {
+	status, _, _ := strings.Cut(resp.Status, " ")
+
+	return len(status) == 3 && resp.StatusCode >= http.StatusContinue && len(resp.Header["Content-Length"]) <= 1
+}
