--- a/internal/run/process/answer_test.go
+++ b/internal/run/process/answer_test.go
@@ -152,6 +152,24 @@
 	}
 }
 
+// Guards against a line of a trailer that reaches the caller although it is broken.
+func TestBrokenTrailerReachesNoCaller(t *testing.T) {
+	t.Parallel()
+	for _, trailer := range []string{"X A: b\r\n", "X-A : b\r\n", "X\x01A: b\r\n", ": b\r\n"} {
+		f := startProcess(t, testSettings(), rawBackend(t, func(*http.Request) (string, bool) {
+			return "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n" + trailer + "\r\n", false
+		}))
+		c, err := net.Dial("tcp", f.process.listeners.request.Addr().String())
+		require.NoError(t, err)
+		_, err = io.WriteString(c, "GET / HTTP/1.1\r\nHost: booking.test\r\nConnection: close\r\n\r\n")
+		require.NoError(t, err)
+		got, err := io.ReadAll(c)
+		require.NoError(t, err)
+		require.NoError(t, c.Close())
+		require.NotContains(t, string(got), ": b", "after the trailer %q", trailer)
+	}
+}
+
 // Guards against a wrong outcome when a backend server fails before or after the
 // first byte of a request is sent to it.
 func TestOutcomeOfBackendFailures(t *testing.T) {
