--- a/internal/cli/cmd/broken_test.go
+++ b/internal/cli/cmd/broken_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"encoding/json"
-	"net/http"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -19,7 +18,7 @@
 // startBroken starts a server that sends a broken response to each request.
 func startBroken(t *testing.T, response string) string {
 	t.Helper()
-	address, stop, err := broken.Start(broken.Close, func(*http.Request) string { return response })
+	address, stop, err := broken.Start(broken.Always(response, broken.Close))
 	require.NoError(t, err)
 	t.Cleanup(stop)
 
--- a/internal/lab/broken/broken.go
+++ b/internal/lab/broken/broken.go
@@ -3,10 +3,13 @@
 
 import (
 	"bufio"
+	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"syscall"
 )
 
 // End is what a server does after a response.
@@ -20,33 +23,51 @@
 	Reset
 )
 
+// receiveBuffer is the size in bytes of a connection's receive buffer. It is small, so that a
+// long upload is still being written when the server ends the connection.
+const receiveBuffer = 4 << 10
+
+// Always returns a function for Start that responds to all requests alike.
+func Always(response string, end End) func(*http.Request) (string, End) {
+	return func(*http.Request) (string, End) { return response, end }
+}
+
 // Start starts a server on the loopback address. It reads the head of one request on each
 // connection, writes the response and ends the connection.
-func Start(end End, respond func(r *http.Request) string) (address string, stop func(), err error) {
-	l, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+func Start(respond func(r *http.Request) (response string, end End)) (address string, stop func(), err error) {
+	config := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
+		var err error
+		controlErr := c.Control(func(fd uintptr) {
+			err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBuffer)
+		})
+
+		return errors.Join(controlErr, err)
+	}}
+	l, err := config.Listen(context.Background(), "tcp", "127.0.0.1:0")
 	if err != nil {
 		return "", nil, fmt.Errorf("listen: %w", err)
 	}
 	go func() {
 		for {
-			c, err := l.AcceptTCP()
+			c, err := l.Accept()
 			if err != nil {
 				return
 			}
-			go serve(c, end, respond)
+			go serve(c.(*net.TCPConn), respond) //nolint:forcetypeassert // A TCP listener accepts these.
 		}
 	}()
 
 	return l.Addr().String(), func() { _ = l.Close() }, nil
 }
 
-func serve(c *net.TCPConn, end End, respond func(r *http.Request) string) {
+func serve(c *net.TCPConn, respond func(r *http.Request) (string, End)) {
 	defer func() { _ = c.Close() }()
 	r, err := http.ReadRequest(bufio.NewReader(c))
 	if err != nil {
 		return
 	}
-	_, _ = io.WriteString(c, respond(r))
+	response, end := respond(r)
+	_, _ = io.WriteString(c, response)
 	if end == Reset {
 		_ = c.SetLinger(0)
 	}
--- a/internal/run/direct/broken_test.go
+++ b/internal/run/direct/broken_test.go
@@ -21,8 +21,8 @@
 // ends the connection; "%s" in the response stands for the request's identifier.
 func startBrokenServer(t *testing.T, response string, end broken.End) steer.Server {
 	t.Helper()
-	address, stop, err := broken.Start(end, func(r *http.Request) string {
-		return strings.ReplaceAll(response, "%s", r.Header.Get(names.RequestID))
+	address, stop, err := broken.Start(func(r *http.Request) (string, broken.End) {
+		return strings.ReplaceAll(response, "%s", r.Header.Get(names.RequestID)), end
 	})
 	require.NoError(t, err)
 	t.Cleanup(stop)
--- a/internal/wire/backend/broken_test.go
+++ b/internal/wire/backend/broken_test.go
@@ -18,7 +18,7 @@
 // startBroken starts a server that writes response to each request and ends the connection.
 func startBroken(t *testing.T, response string, end broken.End) (address string) {
 	t.Helper()
-	address, stop, err := broken.Start(end, func(*http.Request) string { return response })
+	address, stop, err := broken.Start(broken.Always(response, end))
 	require.NoError(t, err)
 	t.Cleanup(stop)
 
--- a/internal/wire/platform/broken_test.go
+++ b/internal/wire/platform/broken_test.go
@@ -1,7 +1,6 @@
 package platform
 
 import (
-	"net/http"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -16,7 +15,7 @@
 	for name, response := range broken.Responses("Content-Type: application/json\r\n", `{"version":1,"value":"eA==","vms":[]}`) {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			address, stop, err := broken.Start(broken.Close, func(*http.Request) string { return response })
+			address, stop, err := broken.Start(broken.Always(response, broken.Close))
 			require.NoError(t, err)
 			t.Cleanup(stop)
 			client := newClient(t, "http://"+address)
