Broken responses: usual terms in comments, docs and names

Cause: a newcomer would stumble over "blank" and over a variable "request" that is its writing. No behaviour changed.

--- a/internal/lab/broken/broken.go
+++ b/internal/lab/broken/broken.go
@@ -82,11 +82,11 @@
 	chunk := fmt.Sprintf("%x\r\n%s\r\n", len(body), body)
 
 	return map[string]string{
-		"blank in a name":                   start + "X A: b\r\n" + end,
-		"blank before a colon":              start + "X-A : b\r\n" + end,
-		"blank before the length's colon":   start + "Content-Length : 1\r\n\r\n" + body,
-		"blank before the encoding's colon": start + "Transfer-Encoding : chunked\r\n\r\n" + body,
-		"blank at the start of a line":      start + "X-A: b\r\n X-C: d\r\n" + end,
+		"space in a name":                   start + "X A: b\r\n" + end,
+		"space before a colon":              start + "X-A : b\r\n" + end,
+		"space before the length's colon":   start + "Content-Length : 1\r\n\r\n" + body,
+		"space before the encoding's colon": start + "Transfer-Encoding : chunked\r\n\r\n" + body,
+		"space at the start of a line":      start + "X-A: b\r\n X-C: d\r\n" + end,
 		"after an interim response":         "HTTP/1.1 100 Continue\r\n\r\n" + start + "X A: b\r\n" + end,
 		"control byte in a name":            start + "X\x01A: b\r\n" + end,
 		"DEL in a name":                     start + "X\x7fA: b\r\n" + end,
--- a/internal/run/process/answer_test.go
+++ b/internal/run/process/answer_test.go
@@ -188,7 +188,7 @@
 		{"refused connection", refusing, http.StatusServiceUnavailable, "not-run"},
 		{"closed without response", rawBackend(t, func(*http.Request) (string, bool) { return "", true }), http.StatusBadGateway, "unknown"},
 		{"malformed response", rawBackend(t, func(*http.Request) (string, bool) { return "BANANA\r\n\r\n", true }), http.StatusBadGateway, "unknown"},
-		{"blank in the name of a field", rawBackend(t, func(*http.Request) (string, bool) {
+		{"space in the name of a field", rawBackend(t, func(*http.Request) (string, bool) {
 			return "HTTP/1.1 200 OK\r\nX A: b\r\nContent-Length: 2\r\n\r\nok", false
 		}), http.StatusBadGateway, "unknown"},
 		{"control byte in the name of a field", rawBackend(t, func(*http.Request) (string, bool) {
--- a/internal/wire/http/head.go
+++ b/internal/wire/http/head.go
@@ -1,5 +1,5 @@
-// Package http refuses responses over HTTP/1 that net/http accepts although they are broken.
-// A server in trouble may send them; what its caller gets would differ from what it meant.
+// Package http refuses broken responses over HTTP/1 that net/http accepts. A server in trouble
+// may send them, and the caller would get a field or a body that the server did not mean.
 package http
 
 import (
@@ -11,23 +11,26 @@
 
 // Errors of broken heads.
 var (
-	// ErrStatusLine means that a response does not begin with a version of HTTP/1, a blank and
+	// ErrStatusLine means that a response does not begin with a version of HTTP/1, a space and
 	// a status from 100 to 999.
 	ErrStatusLine = errors.New("response has no valid status line")
-	// ErrFieldName means that the name of a field holds a byte that no name may hold, or
-	// that a line has no colon. A name with a blank may stand for one that frames the body.
+	// ErrFieldName means that the name of a field is empty or holds a byte that is not allowed
+	// in names, or that a line has no colon. net/http accepts spaces in names, so that it
+	// overlooks "Content-Length : 2".
 	ErrFieldName = errors.New("response has a malformed field name")
-	// ErrFoldedLine means that a line begins with a blank. It goes on with the value of the
-	// line before, a form that RFC 9112 lets no server send, or it is a field whose name is
-	// broken. Both look the same.
-	ErrFoldedLine = errors.New("response has a line that begins with a blank")
+	// ErrFoldedLine means that a line begins with a space or tab. It continues the value of the
+	// line before (obs-fold, which RFC 9112 forbids servers to send), or it is a field with
+	// whitespace before its name. The two cannot be told apart.
+	ErrFoldedLine = errors.New("response has a line that begins with whitespace")
 	// ErrFraming means that a response of HTTP/1.0 has a transfer encoding. That version has
 	// none, so net/http would take the sizes of the chunks for a part of the body.
 	ErrFraming = errors.New("response of HTTP/1.0 has a transfer encoding")
 )
 
 const (
-	oldVersion       = "HTTP/1.0"
+	// oldVersion is the version that has no transfer encodings.
+	oldVersion = "HTTP/1.0"
+	// transferEncoding is the name of a field in lower case.
 	transferEncoding = "transfer-encoding"
 	// statusEnd is where the status ends in a status line.
 	statusEnd = len("HTTP/1.1 200")
--- a/internal/wire/http1/attempt.go
+++ b/internal/wire/http1/attempt.go
@@ -111,7 +111,7 @@
 // stop prevents the end of ctx from interrupting the connection; it returns false when
 // ctx has already ended.
 func (p *Pool) roundTrip(ctx context.Context, c *serverConn, r *Request, stop func() bool, held *reservation) Result {
-	request, err := c.sendRequest(p.encodeHeader(ctx, c.target, r), r.Body)
+	sending, err := c.sendRequest(p.encodeHeader(ctx, c.target, r), r.Body)
 	if err != nil {
 		outcome := Unknown
 		if errors.Is(err, errNothingSent) {
@@ -131,7 +131,7 @@
 	if r.Method == http.MethodHead {
 		length = 0
 	}
-	resp.Body = request.responseBody(resp)
+	resp.Body = sending.responseBody(resp)
 	buffered, whole, err := held.readBody(resp.Body, length)
 	if err != nil {
 		return Result{Outcome: Unknown, Load: result.Load, Err: fmt.Errorf("read response: %w", err)}
@@ -147,8 +147,8 @@
 		result.Response.Length = resp.ContentLength
 	}
 	select {
-	case <-request.ended:
-		mustClose = mustClose || request.err != nil
+	case <-sending.ended:
+		mustClose = mustClose || sending.err != nil
 	default:
 		// The server responded before it had read the body.
 		mustClose = true
