Tests: a reset during an upload on a reused connection

Cause: the test of a body without a length played new connections only. Change: each case is played on a connection that has carried another request too.

--- a/internal/wire/http1/upload_test.go
+++ b/internal/wire/http1/upload_test.go
@@ -46,29 +46,52 @@
 	const tries = 33
 	for _, part := range []int{1, 1 << 10, 300 << 10} {
 		for _, upload := range []int{40 << 10, 8 << 20} {
-			t.Run(fmt.Sprintf("%d of %d", part, upload), func(t *testing.T) {
-				t.Parallel()
-				address := startServer(t, func(c *net.TCPConn) {
-					r, err := http.ReadRequest(bufio.NewReader(c))
-					if err != nil {
-						return
+			for _, reused := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%d of %d, reused: %t", part, upload, reused), func(t *testing.T) {
+					t.Parallel()
+					address := startResettingServer(t, part, reused)
+					p := http1.NewPool(testNames, testResponseMemory)
+					whole := 0
+					for i := range tries {
+						if reused {
+							require.Equal(t, http1.Answered, do(t, p, address, "first").Outcome)
+						}
+						if isWhole(t, p, address, fmt.Sprint(i), make([]byte, upload)) {
+							whole++
+						}
 					}
-					_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n\r\n%s", r.Header.Get("Request-Id"), strings.Repeat("x", part))
-					_ = c.SetLinger(0)
+					require.EqualValues(t, tries, p.Opened())
+					require.Zero(t, whole, "parts taken for a whole body, of %d", tries)
 				})
-				p := http1.NewPool(testNames, testResponseMemory)
-				whole := 0
-				for i := range tries {
-					if isWhole(t, p, address, fmt.Sprint(i), make([]byte, upload)) {
-						whole++
-					}
-				}
-				require.Zero(t, whole, "parts taken for a whole body, of %d", tries)
-			})
+			}
 		}
 	}
 }
 
+// startResettingServer starts a server that answers a request with a body at once, with a part
+// of a body without a length, and resets the connection. If reused is true, it answers another
+// request on the connection before.
+func startResettingServer(t *testing.T, part int, reused bool) string {
+	t.Helper()
+
+	return startServer(t, func(c *net.TCPConn) {
+		in := bufio.NewReader(c)
+		if reused {
+			r, err := http.ReadRequest(in)
+			if err != nil {
+				return
+			}
+			_, _ = fmt.Fprintf(c, okResponse, r.Header.Get("Request-Id"))
+		}
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n\r\n%s", r.Header.Get("Request-Id"), strings.Repeat("x", part))
+		_ = c.SetLinger(0)
+	})
+}
+
 // isWhole reports whether the response to a request with a body seems to be whole.
 func isWhole(t *testing.T, p *http1.Pool, address, id string, body []byte) bool {
 	t.Helper()
