greengagetally entry: wait for the whole request before a body's end counts

Callers saw (found by a question at the read-through): a server that failed while the caller of greengagetally entry paused in its upload sent a part of a body without a length; the caller got it as a whole answer.

Cause: the server had read all that was sent, so its end was orderly, and Conn waited only for a write in progress. wire/http1 waits for the whole request.

Change: Transport tells the connection when an exchange begins and when its request has been written. An end after the head of the response waits for that, and ends with the context or Close. An answer of a server that goes on reading the upload is passed on as before.

--- a/internal/wire/backend/conn.go
+++ b/internal/wire/backend/conn.go
@@ -177,6 +177,7 @@
 		c.mu.Unlock()
 		// Ends the read and the write in progress.
 		_ = c.SetDeadline(time.Unix(1, 0))
+		c.Abandon()
 		go c.linger()
 	})
 
--- a/internal/wire/http/conn_test.go
+++ b/internal/wire/http/conn_test.go
@@ -47,8 +47,11 @@
 				return len(p), writeErr
 			},
 		})
-		c.BeginResponse()
-		go func() { _, _ = c.Write([]byte("request")) }()
+		c.BeginExchange()
+		go func() {
+			_, err := c.Write([]byte("request"))
+			c.RequestWritten(err)
+		}()
 		<-writing
 		got, err := io.ReadAll(c)
 		require.Equal(t, "HTTP/1.1 200 OK\r\n\r\npart", string(got))
