wire/http1: report the bytes of callers that are discarded

Callers saw that a request at a stopping entry VM had no answer, and no log line named it: after a planned stop, bytes were read and discarded at four places without a trace. Each is now reported with the caller's address, the requests that were read on the connection before, whether a response had announced the close, and whether the connection was closed for sending already. With that the hypotheses of the incident can be told apart.

No change of behaviour; the tests of wire/http1 and run/direct pass under -race.

--- a/internal/run/direct/entryvm.go
+++ b/internal/run/direct/entryvm.go
@@ -138,6 +138,7 @@
 		m.Gauge("proven-age-ms/"+TableOperatorConfig, p.provenAgeMillis)
 	}
 	p.listener = http1.NewListener(d.Names(), p, p.callerLimits, settings.MaxBufferedBodyBytes)
+	p.listener.OnDiscard(p.logDiscarded)
 	p.mirrors = map[string]*mirror.Mirror{
 		TableOperatorConfig: mirror.New(d, clock, log, mirror.Options{
 			Prefix: d.Prefix(TableOperatorConfig), MaxAge: settings.TableMaxAge, OnChange: p.operatorConfigChanged, Marks: marks,
--- a/internal/run/direct/serve.go
+++ b/internal/run/direct/serve.go
@@ -289,6 +289,12 @@
 	r.exchange.Respond(newResponse(status, r.exchange.ID, r.deployment.Names()))
 }
 
+// logDiscarded logs bytes of a caller that are not taken as a request.
+func (p *Process) logDiscarded(d http1.Discarded) {
+	p.log.Info("bytes of a caller discarded", zap.Stringer("caller", d.Caller), zap.Int64("bytes", d.Bytes), zap.Int("requests", d.Requests),
+		zap.Bool("close-announced", d.CloseAnnounced), zap.Bool("sending-closed", d.SendingClosed))
+}
+
 // newResponse returns a response that the entry VM generates itself, without a body.
 func newResponse(status int, id string, names http1.Names) http1.Response {
 	r := http1.Response{Status: status, Header: http.Header{}}
--- a/internal/wire/http1/caller.go
+++ b/internal/wire/http1/caller.go
@@ -56,6 +56,12 @@
 	// bodyAwaited is true while the caller of the request that is being read waits for 100
 	// Continue, and earlier responses are due.
 	bodyAwaited bool
+	// requests counts the requests that were read.
+	requests int
+	// closeAnnounced is true once a response says that the connection closes.
+	closeAnnounced bool
+	// sendingClosed is true once the connection is closed for sending.
+	sendingClosed bool
 	// broken is true when the caller has left, or a response was not written completely.
 	broken bool
 
@@ -147,7 +153,7 @@
 	c.limited.remaining = -1
 	_ = c.raw.SetReadDeadline(time.Time{})
 	c.mu.Unlock()
-	_, _ = io.Copy(io.Discard, c.reader)
+	c.discard(c.reader)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
@@ -222,16 +228,19 @@
 		c.mu.Unlock()
 	}
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	c.awaitingRequest = false
+	stopped := c.readStopped
+	c.readingRequest = err == nil && !stopped
+	c.mu.Unlock()
 	if err != nil {
 		return fmt.Errorf("wait for request: %w", err)
 	}
-	if c.readStopped {
+	if stopped {
 		// A response may have said already that the connection closes.
+		c.reportDiscarded(int64(c.reader.Buffered()))
+
 		return errReadStopped
 	}
-	c.readingRequest = true
 
 	return nil
 }
@@ -301,6 +310,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.outstanding = append(c.outstanding, x)
+	c.requests++
 	c.readingRequest = false
 	if len(c.outstanding) == 1 {
 		close(x.turn)
@@ -351,13 +361,16 @@
 	}
 }
 
-// isLast reports whether x is the last exchange of the connection: no request follows,
-// and all earlier responses have been written.
-func (c *callerConn) isLast(x *Exchange) bool {
+// announcesClose reports whether the response to x must say that the connection closes:
+// asked is true, or x is the last exchange, because no request follows and all earlier
+// responses have been written.
+func (c *callerConn) announcesClose(x *Exchange, asked bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	last := c.readStopped && !c.readingRequest && len(c.outstanding) == 1 && c.outstanding[0] == x
+	c.closeAnnounced = c.closeAnnounced || asked || last
 
-	return c.readStopped && !c.readingRequest && len(c.outstanding) == 1 && c.outstanding[0] == x
+	return asked || last
 }
 
 // closeGracefully closes the sending side before it closes the connection. Otherwise
@@ -371,9 +384,12 @@
 // lingerTimeout.
 func (c *callerConn) linger() {
 	if half, ok := c.raw.(interface{ CloseWrite() error }); ok && half.CloseWrite() == nil {
+		c.mu.Lock()
+		c.sendingClosed = true
+		c.mu.Unlock()
 		_ = c.raw.SetReadDeadline(time.Now().Add(lingerTimeout)) //nolint:forbidigo // Deadlines of connections are wall-clock times.
 		c.listener.goroutines.Go(func() {
-			_, _ = io.Copy(io.Discard, c.raw)
+			c.discard(c.raw)
 			_ = c.raw.Close()
 		})
 
--- a/internal/wire/http1/exchange.go
+++ b/internal/wire/http1/exchange.go
@@ -194,7 +194,7 @@
 		out.WriteString(strconv.FormatInt(length, 10))
 		out.WriteString("\r\n")
 	}
-	if x.conn.isLast(x) || r.Header.Get("Connection") == "close" {
+	if x.conn.announcesClose(x, r.Header.Get("Connection") == "close") {
 		out.WriteString("Connection: close\r\n")
 	}
 	out.WriteString("\r\n")
--- a/internal/wire/http1/listener.go
+++ b/internal/wire/http1/listener.go
@@ -34,6 +34,8 @@
 	limits func() RequestLimits
 	// bodies is the memory for the bodies of requests that are read and not yet answered.
 	bodies memory
+	// onDiscard is the function that OnDiscard has set, or nil.
+	onDiscard func(Discarded)
 
 	// mu guards conns and draining.
 	mu       sync.Mutex
