wire/http1: leave requests unread once there is no way to answer them

Callers saw: a request that reached a stopping entry VM had neither an answer nor a refusal (LOST), or its connection closed although it had been read, so that it could not be sent again if it may run only once.

Cause: a connection without a request in progress was closed for sending and then read for 500 ms, so that the close would not reset it. A request that came meanwhile was read and discarded: on connections that were accepted after the stop, and on idle ones at the stop or at their idle timeout, whose callers had not learned of the close. If the packet that closes the connection was lost, they learned 200 ms later.

Why it works: only behind a response that announced the close is anything read and discarded; there the caller knows that nobody answers. Everything else stays in the socket, so that the close itself says that it was not read.

--- a/internal/wire/http1/caller.go
+++ b/internal/wire/http1/caller.go
@@ -23,9 +23,9 @@
 	// not yet answered. Further requests stay unread, which bounds the memory of the
 	// connection.
 	maxPipelined = 32
-	// lingerTimeout is how long a connection is still read after its sending side was
-	// closed. Closing a connection with unread bytes resets it, and a reset could discard
-	// the last response on its way.
+	// lingerTimeout is how long a connection stays open after its sending side was closed.
+	// Closing a connection with unread bytes resets it, and a reset could discard the last
+	// response on its way.
 	lingerTimeout = 500 * time.Millisecond
 )
 
@@ -377,23 +377,34 @@
 // unread bytes would reset the connection, which could discard the last response on its
 // way.
 func (c *callerConn) closeGracefully() {
-	c.closeOnce.Do(c.linger)
-}
+	c.closeOnce.Do(func() {
+		half, ok := c.raw.(interface{ CloseWrite() error })
+		if !ok || half.CloseWrite() != nil {
+			_ = c.raw.Close()
 
-// linger closes the sending side and discards what the caller still sends, for at most
-// lingerTimeout.
-func (c *callerConn) linger() {
-	if half, ok := c.raw.(interface{ CloseWrite() error }); ok && half.CloseWrite() == nil {
+			return
+		}
 		c.mu.Lock()
 		c.sendingClosed = true
+		announced := c.closeAnnounced
 		c.mu.Unlock()
-		_ = c.raw.SetReadDeadline(time.Now().Add(lingerTimeout)) //nolint:forbidigo // Deadlines of connections are wall-clock times.
-		c.listener.goroutines.Go(func() {
-			c.discard(c.raw)
-			_ = c.raw.Close()
-		})
+		if announced {
+			c.linger()
 
-		return
-	}
-	_ = c.raw.Close()
+			return
+		}
+		// The caller may send a request before it learns of the close. It must stay unread:
+		// there is no way to answer it any more.
+		time.AfterFunc(lingerTimeout, func() { _ = c.raw.Close() })
+	})
+}
+
+// linger discards what the caller still sends, for at most lingerTimeout, and closes the
+// connection.
+func (c *callerConn) linger() {
+	_ = c.raw.SetReadDeadline(time.Now().Add(lingerTimeout)) //nolint:forbidigo // Deadlines of connections are wall-clock times.
+	c.listener.goroutines.Go(func() {
+		c.discard(c.raw)
+		_ = c.raw.Close()
+	})
 }
