wire/http1: answer what was read when a stop comes

Callers saw (in tests): a request that was read in the moment of a planned stop was dropped, and so was one behind a response that was being written then; no response had said that the connection closes. Their callers got neither an answer nor a refusal.

Cause: after a stop, everything but the requests in progress was discarded, also where the caller could not know.

Change: only what comes behind a response that says that the connection closes, or will say so, is discarded. A request that was read is answered, and its response says so. While a response is written that didn't, further requests are awaited.

--- a/internal/wire/http1/caller.go
+++ b/internal/wire/http1/caller.go
@@ -195,48 +195,32 @@
 // it goes on waiting.
 func (c *callerConn) awaitRequest() error {
 	c.mu.Lock()
-	if c.readStopped {
+	// What is buffered was read from the connection, so nobody else can answer it.
+	if c.closeExpected() || c.readStopped && len(c.outstanding) == 0 && c.reader.Buffered() == 0 {
 		c.mu.Unlock()
 
 		return errReadStopped
 	}
 	c.awaitingRequest = true
 	c.limited.remaining = -1
-	timeout := c.listener.limits().IdleTimeout
-	deadline := time.Time{}
-	if timeout > 0 {
-		deadline = time.Now().Add(timeout) //nolint:forbidigo // Deadlines of connections are wall-clock times.
-	}
-	_ = c.raw.SetReadDeadline(deadline)
+	c.setIdleDeadline()
 	c.mu.Unlock()
-	var err error
-	for {
-		_, err = c.reader.Peek(1)
-		var timeout net.Error
-		if !errors.As(err, &timeout) || !timeout.Timeout() {
-			break
-		}
-		c.mu.Lock()
-		busy := len(c.outstanding) > 0 && !c.readStopped
-		if !busy {
-			c.readStopped = true
-			c.mu.Unlock()
-
+	_, err := c.reader.Peek(1)
+	for isTimeout(err) {
+		if !c.awaitLonger() {
 			return errReadStopped
 		}
-		_ = c.raw.SetReadDeadline(time.Now().Add(c.listener.limits().IdleTimeout)) //nolint:forbidigo // Deadlines of connections are wall-clock times.
-		c.mu.Unlock()
+		_, err = c.reader.Peek(1)
 	}
 	c.mu.Lock()
 	c.awaitingRequest = false
-	stopped := c.readStopped
-	c.readingRequest = err == nil && !stopped
+	dropped := err == nil && c.closeExpected()
+	c.readingRequest = err == nil && !dropped
 	c.mu.Unlock()
 	if err != nil {
 		return fmt.Errorf("wait for request: %w", err)
 	}
-	if stopped {
-		// A response may have said already that the connection closes.
+	if dropped {
 		c.reportDiscarded(int64(c.reader.Buffered()))
 
 		return errReadStopped
@@ -245,6 +229,54 @@
 	return nil
 }
 
+// closeExpected reports whether the caller expects no answer to what it sends now, because
+// a response says that the connection closes, or will say so. The caller of this method
+// holds mu.
+func (c *callerConn) closeExpected() bool {
+	last := len(c.outstanding) - 1
+
+	return c.closeAnnounced || c.readStopped && last >= 0 && !c.outstanding[last].headerWritten
+}
+
+// awaitLonger reports whether to wait for a request again after a timeout. Otherwise it
+// stops reading.
+func (c *callerConn) awaitLonger() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.outstanding) == 0 || c.closeExpected() {
+		c.awaitingRequest = false
+		c.readStopped = true
+
+		return false
+	}
+	c.setIdleDeadline()
+
+	return true
+}
+
+// setIdleDeadline bounds the wait for a request by the idle timeout. After a stop, finish
+// ends the wait. The caller of this method holds mu.
+func (c *callerConn) setIdleDeadline() {
+	deadline := time.Time{}
+	if timeout := c.listener.limits().IdleTimeout; timeout > 0 && !c.readStopped {
+		deadline = time.Now().Add(timeout) //nolint:forbidigo // Deadlines of connections are wall-clock times.
+	}
+	_ = c.raw.SetReadDeadline(deadline)
+}
+
+// endWait ends a wait for a request. The caller of this method holds mu.
+func (c *callerConn) endWait() {
+	if c.awaitingRequest {
+		_ = c.raw.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
+func isTimeout(err error) bool {
+	var netErr net.Error
+
+	return errors.As(err, &netErr) && netErr.Timeout()
+}
+
 // readRequest reads a request and returns its exchange. If the request must be refused,
 // it returns the HTTP status of the refusal instead; otherwise the status is 0.
 func (c *callerConn) readRequest() (*Exchange, int, error) {
@@ -294,7 +326,7 @@
 	switch {
 	case errors.Is(err, errHeaderTooLong):
 		return http.StatusRequestHeaderFieldsTooLarge
-	case errors.As(err, &netErr) && netErr.Timeout():
+	case isTimeout(err):
 		return http.StatusRequestTimeout
 	case errors.As(err, &netErr), errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
 		return 0
@@ -320,14 +352,13 @@
 }
 
 // stopReading ends the reading of requests. The connection is closed after the responses
-// to the requests that were already read.
+// to the requests that were already read. A caller that was not told so in a response
+// may still send a request, which is answered if it comes before the close.
 func (c *callerConn) stopReading() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.readStopped = true
-	if c.awaitingRequest {
-		_ = c.raw.SetReadDeadline(time.Unix(1, 0))
-	}
+	c.endWait()
 }
 
 // finish removes an exchange that has ended and lets the next exchange respond. If broken
@@ -354,6 +385,11 @@
 		close(c.outstanding[0].turn)
 	}
 	closing := c.readStopped && !c.readingRequest && len(c.outstanding) == 0 && !c.broken
+	if closing && !c.closeAnnounced {
+		// The caller may have sent a request meanwhile; run closes the connection.
+		closing = false
+		c.endWait()
+	}
 	c.mu.Unlock()
 	<-c.pipelineSlots
 	if closing {
@@ -369,6 +405,7 @@
 	defer c.mu.Unlock()
 	last := c.readStopped && !c.readingRequest && len(c.outstanding) == 1 && c.outstanding[0] == x
 	c.closeAnnounced = c.closeAnnounced || asked || last
+	x.headerWritten = true
 
 	return asked || last
 }
--- a/internal/wire/http1/exchange.go
+++ b/internal/wire/http1/exchange.go
@@ -13,6 +13,9 @@
 	*Request
 
 	conn *callerConn
+	// headerWritten is true once it is decided whether the response says that the
+	// connection closes. The connection's mu guards it.
+	headerWritten bool
 	// turn is closed when the responses to all earlier requests have been written.
 	turn       chan struct{}
 	callerLeft chan struct{}
--- a/internal/wire/http1/unread_test.go
+++ b/internal/wire/http1/unread_test.go
@@ -132,3 +132,84 @@
 		})
 	}
 }
+
+// Guards against a stop that throws away a request which was read in the same moment.
+func TestRequestReadAtTheStopIsAnswered(t *testing.T) {
+	t.Parallel()
+	drain := make(chan func(), 1)
+	listener, watched := startWatched(t, func(x *http1.Exchange) {
+		x.Respond(http1.Response{Status: 200, Body: []byte(x.ID)})
+	}, http1.RequestLimits{}, func(_ *watchedConn, bytes int) {
+		if bytes > 0 {
+			select {
+			case stop := <-drain:
+				stop()
+			default:
+			}
+		}
+	})
+	drain <- listener.Drain
+	caller := dial(t, watched.Addr().String())
+	_, err := io.WriteString(caller, get("/1"))
+	require.NoError(t, err)
+	status, body, closes := readResponse(t, bufio.NewReader(caller))
+	require.Equal(t, 200, status)
+	require.Equal(t, "1", body)
+	require.True(t, closes)
+}
+
+// Guards against a stop that discards what callers send behind a response which was begun
+// before and does not say that the connection closes.
+func TestStopDuringResponse(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		name string
+		// behind is true when another request is sent after the stop.
+		behind bool
+	}{{"with a request behind it", true}, {"without", false}} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			in, out := io.Pipe()
+			read := make(chan struct{}, 2)
+			listener, watched := startWatched(t, func(x *http1.Exchange) {
+				r := http1.Response{Status: 200, Body: []byte(x.ID)}
+				if x.ID == "1" {
+					r.Rest, r.Length = in, int64(len(x.ID+"-rest"))
+				}
+				x.Respond(r)
+			}, http1.RequestLimits{}, func(_ *watchedConn, bytes int) {
+				if bytes > 0 {
+					read <- struct{}{}
+				}
+			})
+			caller := dial(t, watched.Addr().String())
+			_, err := io.WriteString(caller, get("/1"))
+			require.NoError(t, err)
+			<-read
+			responses := bufio.NewReader(caller)
+			_, err = responses.Peek(1)
+			require.NoError(t, err)
+			listener.Drain()
+			if c.behind {
+				_, err = io.WriteString(caller, get("/2"))
+				require.NoError(t, err)
+				<-read
+			}
+			_, err = io.WriteString(out, "-rest")
+			require.NoError(t, err)
+			require.NoError(t, out.Close())
+			status, body, closes := readResponse(t, responses)
+			require.Equal(t, 200, status)
+			require.Equal(t, "1-rest", body)
+			require.False(t, closes)
+			if c.behind {
+				status, body, closes = readResponse(t, responses)
+				require.Equal(t, 200, status)
+				require.Equal(t, "2", body)
+				require.True(t, closes)
+			}
+			_, err = responses.ReadByte()
+			require.ErrorIs(t, err, io.EOF)
+		})
+	}
+}
