wire/http1: begin the idle timeout when the response has ended

Callers saw (in a test): after a long request, its connection was closed when it had been idle for a part of the idle timeout only, so a next request could cross the close. With a timeout of 400 ms and a response after 300 ms it was closed 100 ms later.

Cause: the timeout was counted from the end of the request, not from the end of its response.

--- a/internal/wire/http1/caller.go
+++ b/internal/wire/http1/caller.go
@@ -45,6 +45,8 @@
 	// awaitingRequest is true while the reading goroutine waits for the first byte of a
 	// request.
 	awaitingRequest bool
+	// idleUntil is when the wait for a request ends by the idle timeout; zero is never.
+	idleUntil time.Time
 	// readingRequest is true from the first byte of a request until its exchange is
 	// outstanding.
 	readingRequest bool
@@ -243,7 +245,12 @@
 func (c *callerConn) awaitLonger() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.outstanding) == 0 || c.closeExpected() {
+	idle := len(c.outstanding) == 0
+	if idle && !c.readStopped && time.Now().Before(c.idleUntil) { //nolint:forbidigo // Deadlines of connections are wall-clock times.
+		// A response ended just before the timeout.
+		return true
+	}
+	if idle || c.closeExpected() {
 		c.awaitingRequest = false
 		c.readStopped = true
 
@@ -257,11 +264,11 @@
 // setIdleDeadline bounds the wait for a request by the idle timeout. After a stop, finish
 // ends the wait. The caller of this method holds mu.
 func (c *callerConn) setIdleDeadline() {
-	deadline := time.Time{}
+	c.idleUntil = time.Time{}
 	if timeout := c.listener.limits().IdleTimeout; timeout > 0 && !c.readStopped {
-		deadline = time.Now().Add(timeout) //nolint:forbidigo // Deadlines of connections are wall-clock times.
+		c.idleUntil = time.Now().Add(timeout) //nolint:forbidigo // Deadlines of connections are wall-clock times.
 	}
-	_ = c.raw.SetReadDeadline(deadline)
+	_ = c.raw.SetReadDeadline(c.idleUntil)
 }
 
 // endWait ends a wait for a request. The caller of this method holds mu.
@@ -384,12 +391,7 @@
 	if index == 0 && len(c.outstanding) > 0 {
 		close(c.outstanding[0].turn)
 	}
-	closing := c.readStopped && !c.readingRequest && len(c.outstanding) == 0 && !c.broken
-	if closing && !c.closeAnnounced {
-		// The caller may have sent a request meanwhile; run closes the connection.
-		closing = false
-		c.endWait()
-	}
+	closing := len(c.outstanding) == 0 && !c.readingRequest && !c.broken && c.responsesEnded()
 	c.mu.Unlock()
 	<-c.pipelineSlots
 	if closing {
@@ -397,6 +399,22 @@
 	}
 }
 
+// responsesEnded decides what follows when no response is due and no request is being read.
+// It reports whether the connection must be closed now. The caller of this method holds mu.
+func (c *callerConn) responsesEnded() bool {
+	switch {
+	case c.closeAnnounced:
+		return true
+	case c.readStopped:
+		// The caller may have sent a request meanwhile: run closes the connection if it has not.
+		c.endWait()
+	case c.awaitingRequest:
+		c.setIdleDeadline()
+	}
+
+	return false
+}
+
 // announcesClose reports whether the response to x must say that the connection closes:
 // asked is true, or x is the last exchange, because no request follows and all earlier
 // responses have been written.
--- a/internal/wire/http1/unread_test.go
+++ b/internal/wire/http1/unread_test.go
@@ -28,7 +28,7 @@
 	if err != nil {
 		return nil, err //nolint:wrapcheck // Passed on as it is.
 	}
-	c := &watchedConn{Conn: raw, afterRead: l.afterRead, closed: make(chan struct{})}
+	c := &watchedConn{Conn: raw, afterRead: l.afterRead, closed: make(chan struct{}), sendingEnded: make(chan time.Time, 1)}
 	l.accepted <- c
 
 	return c, nil
@@ -42,6 +42,8 @@
 	readTooLate   atomic.Int64
 	closeOnce     sync.Once
 	closed        chan struct{}
+	// sendingEnded gets the time at which the connection is closed for sending.
+	sendingEnded chan time.Time
 }
 
 func (c *watchedConn) Read(p []byte) (int, error) {
@@ -58,6 +60,7 @@
 
 func (c *watchedConn) CloseWrite() error {
 	c.sendingClosed.Store(true)
+	c.sendingEnded <- time.Now()
 	half, _ := c.Conn.(*net.TCPConn)
 
 	return half.CloseWrite() //nolint:wrapcheck // Passed on as it is.
@@ -213,3 +216,21 @@
 		})
 	}
 }
+
+// Guards against an idle timeout that counts the time of a response, and so closes the
+// connection of a caller that may still use it.
+func TestIdleTimeoutBeginsAfterTheResponse(t *testing.T) {
+	t.Parallel()
+	const idle = 400 * time.Millisecond
+	responding := make(chan time.Time, 1)
+	_, watched := startWatched(t, func(x *http1.Exchange) {
+		time.Sleep(idle * 3 / 4)
+		responding <- time.Now()
+		x.Respond(http1.Response{Status: 200})
+	}, http1.RequestLimits{IdleTimeout: idle}, nil)
+	caller := dial(t, watched.Addr().String())
+	_, err := io.WriteString(caller, get("/1"))
+	require.NoError(t, err)
+	conn := <-watched.accepted
+	require.GreaterOrEqual(t, (<-conn.sendingEnded).Sub(<-responding), idle)
+}
