run/direct: serve at a planned stop while lookups hold

Callers saw: their lookups named a stopping entry VM for up to 2 s, and each request that they sent there met a closed connection. Where the entry VMs that a zone's lookups name stopped one after the other, both tries of a caller ended so, and it was not served.

Cause: the stop closed idle connections at once and new ones unread, although the process stays until lookups have expired, and the reducer already refuses requests that may not end in time.

--- a/internal/run/direct/stop.go
+++ b/internal/run/direct/stop.go
@@ -24,9 +24,11 @@
 	stopPollInterval = 50 * time.Millisecond
 )
 
-// Stop withdraws the entry VM, lets the requests in flight finish and returns when the
-// process may end, before GracePeriod is over. It breaks off requests that take longer, in
-// time for the answers that wait behind them on their connections.
+// Stop withdraws the entry VM and returns when the process may end, before GracePeriod is
+// over. Callers may use the result of their last lookup for LookupTTL. So long requests are
+// taken, each response closing its connection; then those in flight finish. Stop breaks off
+// requests that take longer than GracePeriod allows, in time for the answers that wait behind
+// them on their connections.
 func (p *Process) Stop(ctx context.Context) {
 	start := p.clock.Now()
 	p.stopping.Store(true)
@@ -36,7 +38,7 @@
 	reserved := min(endTime+answerTime, time.Duration(maxReservedPart*float64(gracePeriod)))
 	answerBy := start + gracePeriod - reserved
 	p.apply(steer.StopRequested{At: steer.At(start), AnswerBy: answerBy})
-	p.listener.Drain()
+	p.listener.CloseAfterResponses()
 	p.log.Info("stop requested", zap.Int("connections", p.listener.OpenConnections()))
 	p.goroutines.Go(func() {
 		withdrawCtx, cancel := context.WithTimeout(ctx, withdrawTimeout)
@@ -46,16 +48,18 @@
 		}
 	})
 	p.reportNow()
-	// Callers may use the result of their last lookup for lookupTTL. Meanwhile new
-	// connections are accepted and closed without a response, so that their callers look up
-	// other entry VMs.
-	earliestEnd := start + min(lookupTTL, gracePeriod-reserved)
+	drainAt := start + min(lookupTTL, gracePeriod-reserved)
 	latestEnd := start + gracePeriod - min(endTime, reserved/2)
+	draining := false
 	for now := range p.clock.Subscribe(ctx, stopPollInterval) {
+		if !draining && now >= drainAt {
+			p.listener.Drain()
+			draining = true
+		}
 		if now >= answerBy {
 			p.endAttempts()
 		}
-		if now >= latestEnd || now >= earliestEnd && p.listener.OpenConnections() == 0 {
+		if now >= latestEnd || draining && p.listener.OpenConnections() == 0 {
 			break
 		}
 	}
--- a/internal/wire/http1/caller.go
+++ b/internal/wire/http1/caller.go
@@ -421,7 +421,8 @@
 func (c *callerConn) announcesClose(x *Exchange, asked bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	last := c.readStopped && !c.readingRequest && len(c.outstanding) == 1 && c.outstanding[0] == x
+	stopping := c.readStopped || c.listener.closeAfterResponses.Load()
+	last := stopping && !c.readingRequest && len(c.outstanding) == 1 && c.outstanding[0] == x
 	c.closeAnnounced = c.closeAnnounced || asked || last
 	x.headerWritten = true
 
--- a/internal/wire/http1/listener.go
+++ b/internal/wire/http1/listener.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -37,6 +38,9 @@
 	// onDiscard is the function that OnDiscard has set, or nil.
 	onDiscard func(Discarded)
 
+	// closeAfterResponses is true once CloseAfterResponses was called.
+	closeAfterResponses atomic.Bool
+
 	// mu guards conns and draining.
 	mu       sync.Mutex
 	conns    map[*callerConn]struct{}
@@ -99,6 +103,12 @@
 	}
 }
 
+// CloseAfterResponses makes each connection close after its next response, which says so, or
+// after the last one if several are due. Requests are still taken, on new connections too.
+func (l *Listener) CloseAfterResponses() {
+	l.closeAfterResponses.Store(true)
+}
+
 // Drain closes idle connections at once, and does so with connections that are accepted
 // later. Other connections are closed after the responses to the requests that were
 // already read.
