wire/http1: a stop while a request comes in parts is no timeout of its header

Callers could see: a request whose first part was read in the moment of a planned stop got 400 where no header timeout is set, as before the first configuration.

Cause: the stop ends the wait for a request by a read deadline in the past, which stayed in force while the rest of the header was read.

Also, a response that announces the close stops the wait for further requests at once, so that the reading goroutine does not poll a connection that is being closed.

--- a/internal/wire/http1/caller.go
+++ b/internal/wire/http1/caller.go
@@ -50,7 +50,8 @@
 	// readingRequest is true from the first byte of a request until its exchange is
 	// outstanding.
 	readingRequest bool
-	// readStopped is true once no further request is begun to be read.
+	// readStopped is true once no further request is awaited. One that comes before the
+	// close is still read if no response has told its caller of the close.
 	readStopped bool
 	// outstanding are the exchanges whose responses are not complete, in the order of
 	// their requests.
@@ -288,9 +289,12 @@
 // it returns the HTTP status of the refusal instead; otherwise the status is 0.
 func (c *callerConn) readRequest() (*Exchange, int, error) {
 	limits := c.listener.limits()
+	// Replaces the deadline of the wait for the request, which a stop may have ended.
+	deadline := time.Time{}
 	if limits.HeaderTimeout > 0 {
-		_ = c.raw.SetReadDeadline(time.Now().Add(limits.HeaderTimeout)) //nolint:forbidigo // Deadlines of connections are wall-clock times.
+		deadline = time.Now().Add(limits.HeaderTimeout) //nolint:forbidigo // Deadlines of connections are wall-clock times.
 	}
+	_ = c.raw.SetReadDeadline(deadline)
 	c.limited.remaining = max(limits.HeaderBytes-c.reader.Buffered(), 0)
 	r, err := http.ReadRequest(c.reader)
 	c.limited.remaining = -1
@@ -424,6 +428,7 @@
 	stopping := c.readStopped || c.listener.closeAfterResponses.Load()
 	last := stopping && !c.readingRequest && len(c.outstanding) == 1 && c.outstanding[0] == x
 	c.closeAnnounced = c.closeAnnounced || asked || last
+	c.readStopped = c.readStopped || c.closeAnnounced
 	x.headerWritten = true
 
 	return asked || last
--- a/internal/wire/http1/unread_test.go
+++ b/internal/wire/http1/unread_test.go
@@ -136,29 +136,48 @@
 	}
 }
 
-// Guards against a stop that throws away a request which was read in the same moment.
+// Guards against a stop that throws away a request which was read in the same moment, or
+// whose first part was.
 func TestRequestReadAtTheStopIsAnswered(t *testing.T) {
 	t.Parallel()
-	drain := make(chan func(), 1)
-	listener, watched := startWatched(t, func(x *http1.Exchange) {
-		x.Respond(http1.Response{Status: 200, Body: []byte(x.ID)})
-	}, http1.RequestLimits{}, func(_ *watchedConn, bytes int) {
-		if bytes > 0 {
-			select {
-			case stop := <-drain:
-				stop()
-			default:
+	for _, c := range []struct {
+		name  string
+		parts []string
+		body  string
+	}{
+		{"whole", []string{get("/1")}, "1"},
+		{"in parts", []string{"POST /1 HTTP/1.1\r\nHost: a\r\nRequest-Id: 1\r\nContent-", "Length: 4\r\n\r\n", "body"}, "1body"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			drain := make(chan func(), 1)
+			read := make(chan struct{}, len(c.parts))
+			listener, watched := startWatched(t, func(x *http1.Exchange) {
+				x.Respond(http1.Response{Status: 200, Body: []byte(x.ID + string(x.Body))})
+			}, http1.RequestLimits{}, func(_ *watchedConn, bytes int) {
+				if bytes == 0 {
+					return
+				}
+				select {
+				case stop := <-drain:
+					stop()
+				default:
+				}
+				read <- struct{}{}
+			})
+			drain <- listener.Drain
+			caller := dial(t, watched.Addr().String())
+			for _, part := range c.parts {
+				_, err := io.WriteString(caller, part)
+				require.NoError(t, err)
+				<-read
 			}
-		}
-	})
-	drain <- listener.Drain
-	caller := dial(t, watched.Addr().String())
-	_, err := io.WriteString(caller, get("/1"))
-	require.NoError(t, err)
-	status, body, closes := readResponse(t, bufio.NewReader(caller))
-	require.Equal(t, 200, status)
-	require.Equal(t, "1", body)
-	require.True(t, closes)
+			status, body, closes := readResponse(t, bufio.NewReader(caller))
+			require.Equal(t, 200, status)
+			require.Equal(t, c.body, body)
+			require.True(t, closes)
+		})
+	}
 }
 
 // Guards against a stop that discards what callers send behind a response which was begun
