Review: bookings run at another service behind an entry that lacks fields

Cause: an entry without version, seq and warmup_left_s is taken for that of a server, and its service believed (ROUTE). PROTOCOL.md: it names no upstream to use.

--- a/review/harness-2/world/record.go
+++ b/review/harness-2/world/record.go
@@ -23,8 +23,8 @@
 
 // Run is a request that a backend server ran.
 type Run struct {
-	Server, ID, Method, Target, Body string
-	BodyBytes                        int
+	Server, Service, ID, Method, Target, Body string
+	BodyBytes                                 int
 }
 
 // Answered is what a client got.
@@ -109,6 +109,9 @@
 	count := map[string]int{}
 	for _, run := range r.runs {
 		count[run.ID]++
+		if service := serviceOf(run.Target); service != run.Service {
+			out = append(out, fmt.Sprintf("ROUTE: %s of service %s runs %s %s of %s, which goes to %s", run.Server, run.Service, run.Method, run.Target, run.ID, service))
+		}
 		s, ok := r.sent[run.ID]
 		switch {
 		case !ok:
@@ -137,6 +140,15 @@
 	return out
 }
 
+// serviceOf returns the only service to which a configuration sends a target.
+func serviceOf(target string) string {
+	if strings.HasPrefix(target, PathSearch) {
+		return ServiceTalent
+	}
+
+	return ServiceBooking
+}
+
 // Counts returns how many requests were sent, run and answered with success.
 func (r *Record) Counts() (sent, runs, successes int) {
 	r.mu.Lock()
--- a/review/harness-2/world/server.go
+++ b/review/harness-2/world/server.go
@@ -35,6 +35,7 @@
 
 	record *Record
 	slots  chan struct{}
+	entry  []byte
 	mu     sync.Mutex
 	// running and waiting count requests.
 	running, waiting int
@@ -53,13 +54,30 @@
 	}
 	s.http = &http.Server{Handler: s, IdleTimeout: 10 * time.Second}
 	go func() { _ = s.http.Serve(l) }()
-	store.Put(ServersPrefix+s.ID, s.Entry())
+	s.entry = s.newEntry()
+	store.Put(ServersPrefix+s.ID, s.entry)
+	go s.beat(store)
 
 	return nil
 }
 
+// heartbeat is how often a server looks after its entry.
+const heartbeat = 1500 * time.Millisecond
+
+// beat writes the entry again whenever it is not the server's own. Otherwise only its count
+// changes, which the entry does not show.
+func (s *Server) beat(store *Store) {
+	for range time.Tick(heartbeat) {
+		if value, _ := store.Value(ServersPrefix + s.ID); !bytes.Equal(value, s.entry) {
+			store.Put(ServersPrefix+s.ID, s.entry)
+		}
+	}
+}
+
 // Entry returns the value of the server's entry in the store.
-func (s *Server) Entry() []byte {
+func (s *Server) Entry() []byte { return s.entry }
+
+func (s *Server) newEntry() []byte {
 	data, err := json.Marshal(map[string]any{
 		"address": s.Address,
 		"born":    time.Now().UnixMilli(),
@@ -133,7 +151,7 @@
 	if s.Work != nil {
 		work = s.Work(r, body)
 	}
-	s.record.ran(Run{Server: s.ID, ID: id, Method: r.Method, Target: r.RequestURI, Body: digest(body), BodyBytes: len(body)})
+	s.record.ran(Run{Server: s.ID, Service: s.Service, ID: id, Method: r.Method, Target: r.RequestURI, Body: digest(body), BodyBytes: len(body)})
 	select {
 	case <-time.After(work.For):
 	case <-ctx.Done():
