--- a/review/harness-2/world/world.go
+++ b/review/harness-2/world/world.go
@@ -31,8 +31,12 @@
 
 // zones are the availability zones with their regions.
 var zones = [][2]string{
-	{"brest-a", "finistere"}, {"rennes-a", "ille-vilaine"}, {"vannes-a", "morbihan"},
-	{"quimper-b", "finistere"}, {"vitre-b", "ille-vilaine"}, {"lorient-b", "morbihan"},
+	{"brest-a", "finistere"},
+	{"rennes-a", "ille-vilaine"},
+	{"vannes-a", "morbihan"},
+	{"quimper-b", "finistere"},
+	{"vitre-b", "ille-vilaine"},
+	{"lorient-b", "morbihan"},
 }
 
 // MemoryMB is the memory of an entry VM.
