--- a/review/harness-2/cmd/slow-pipeline/main.go
+++ b/review/harness-2/cmd/slow-pipeline/main.go
@@ -32,12 +32,15 @@
 	pause         = 200 * time.Millisecond
 	readPerSecond = 12_000
 	bookingBytes  = 9_000
-	lookupBytes   = 2_250
-	receiveBuffer = 4 << 10
+	lookupBytes   = 1_500
+	receiveBuffer = 1 << 10
 	timeout       = 2 * time.Second
 	deadline      = 6 * time.Second
 
+	// The SIGTERM comes busyAfter after the first booking that a caller sends to the VM later
+	// than stopAt: the VM is answering then.
 	stopAt    = 5 * time.Second
+	busyAfter = 20 * time.Millisecond
 	grace     = 6 * time.Second
 	restartIn = 500 * time.Millisecond
 	length    = 16 * time.Second
@@ -97,18 +100,23 @@
 	}
 	var group sync.WaitGroup
 	var all results
+	booked := make(chan string)
 	start := time.Now()
 	for i := range clients {
 		c := w.NewClient(fmt.Sprintf("c%02d", i))
 		group.Go(func() {
 			time.Sleep(time.Duration(i) * roundRequests * pause / clients)
 			for n := 0; time.Since(start) < length; n++ {
-				converse(ctx, w, c, start.Add(length), &all)
+				converse(ctx, w, c, start.Add(length), &all, booked)
 			}
 		})
 	}
 	time.Sleep(stopAt)
 	vm := w.VMs[1]
+	for address := ""; address != vm.Front(); {
+		address = <-booked
+	}
+	time.Sleep(busyAfter)
 	stoppedAt := time.Now()
 	if trouble {
 		vm.Signal(syscall.SIGTERM)
@@ -175,8 +183,8 @@
 }
 
 // converse opens a connection and sends requests until it ends, an answer says that it closes,
-// or the time is over.
-func converse(ctx context.Context, w *world.World, c *world.Client, end time.Time, all *results) {
+// or the time is over. It tells of each booking, if somebody listens.
+func converse(ctx context.Context, w *world.World, c *world.Client, end time.Time, all *results, booked chan<- string) {
 	address, err := c.Resolve(ctx)
 	if err != nil {
 		time.Sleep(pause)
@@ -237,6 +245,12 @@
 			if err != nil {
 				return
 			}
+			if isFirst {
+				select {
+				case booked <- address:
+				default:
+				}
+			}
 			if n%roundRequests >= 2 {
 				time.Sleep(pause)
 			}
