--- a/internal/wire/http1/attempt.go
+++ b/internal/wire/http1/attempt.go
@@ -77,11 +77,17 @@
 	maxInlineBody = 32 << 10
 )
 
+// errInvalidInstance means that a header cannot carry Target.Instance.
+var errInvalidInstance = errors.New("identity of the backend server has bytes that a header cannot carry")
+
 // Do sends a request to a server and reads its response. It never sends a request twice.
 // It fails when ctx ends. The caller must close Response.Rest; reading from it fails when
 // ctx is canceled, and without a stated length also at the deadline of ctx. The caller must also call Result.Release when it no longer needs the
 // response.
 func (p *Pool) Do(ctx context.Context, to Target, r *Request) Result {
+	if to.Instance != "" && !IsVisible(to.Instance) {
+		return Result{Outcome: NotSent, Err: errInvalidInstance}
+	}
 	// A late response to another request cannot be told apart without an identifier.
 	c, err := p.get(ctx, to, r.ID != "")
 	if err != nil {
--- a/internal/wire/http1/pool_test.go
+++ b/internal/wire/http1/pool_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -278,3 +279,23 @@
 		})
 	}
 }
+
+// Guards against an identity of a server that ends the header early, so that the server runs
+// the request without its body and answers it.
+func TestIdentityOfAServerEndsNoHeader(t *testing.T) {
+	t.Parallel()
+	var runs atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		runs.Add(1)
+		w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+	}))
+	t.Cleanup(server.Close)
+	p := http1.NewPool(testNames, testResponseMemory)
+	r := request("1")
+	r.Method, r.Body = http.MethodPost, []byte("body")
+	for _, instance := range []string{"i\r\n", "i\n", "i\r\nContent-Length: 0\r\n\r\n", "i\x00", "i ", "\t", "\u00ef"} {
+		result := p.Do(t.Context(), http1.Target{Instance: instance, Address: server.Listener.Addr().String()}, r)
+		require.Equal(t, http1.NotSent, result.Outcome, "instance %q: %v", instance, result.Err)
+		require.Zero(t, runs.Load(), "instance %q", instance)
+	}
+}
