--- a/internal/steer/direct/script_test.go
+++ b/internal/steer/direct/script_test.go
@@ -79,12 +79,17 @@
 	}
 	f.settings = direct.Settings{Name: "entry", Zone: "z", Region: "r", Seed: 1, RetryRatio: 0.2, RetryAllowance: 100, RetryWindow: 10 * time.Second, MaxShift: 0.15, FaultTime: 4 * time.Second, WarmupAllowance: 20}
 	f.state = direct.New(f.settings)
-	in := intent.New(1, []intent.Route{f.route}, map[string]intent.Service{"s": {Name: "s", HealthPath: "/health"}}, intent.Limits{})
-	f.state, _ = direct.Reduce(f.state, direct.IntentChanged{Intent: in})
+	f.configure(1, "/health")
 
 	return f
 }
 
+// configure applies a version of the configuration with the health path of the service.
+func (f *scriptFixture) configure(version uint64, healthPath string) string {
+	return f.apply(direct.IntentChanged{Intent: intent.New(version, []intent.Route{f.route},
+		map[string]intent.Service{"s": {Name: "s", HealthPath: healthPath}}, intent.Limits{})})
+}
+
 // run executes a command at the time given by its argument "at", if it has one, and
 // returns the effects.
 func (f *scriptFixture) run(t *testing.T, d *datadriven.TestData) string {
@@ -127,6 +132,8 @@
 		return f.apply(direct.AttemptEnded{At: at, ID: direct.RequestID(id), Hedge: d.HasArg("hedge"), Outcome: outcome, Status: status, Leaving: d.HasArg("leaving"), PauseFor: pause})
 	case "broken-off":
 		return f.apply(direct.AttemptEnded{At: at, ID: direct.RequestID(id), Outcome: direct.Unknown, TimedOut: true})
+	case "no-health-path":
+		return f.configure(2, "")
 	case "stop":
 		return f.apply(direct.StopRequested{At: at, AnswerBy: argDuration(t, d, "answer-by")})
 	case "lost":
--- a/internal/steer/direct/tick.go
+++ b/internal/steer/direct/tick.go
@@ -200,7 +200,8 @@
 	return demands
 }
 
-// sendProbes sends a probe to each server that needs one and whose backoff has passed.
+// sendProbes sends a probe to each server that needs one and whose backoff has passed. Where
+// the service has no health path, the backoff alone ends.
 func (s *state) sendProbes() {
 	if s.intent == nil {
 		return
@@ -210,8 +211,16 @@
 			if !srv.needsProbe || srv.Leaving || srv.probing || s.now < max(srv.avoidUntil, srv.pausedUntil, srv.nextProbeAt) {
 				continue
 			}
+			path := s.intent.Services[service].HealthPath
+			if path == "" {
+				srv.needsProbe = false
+				s.emit(LogServerState{Server: srv.ID, State: "usable", Cause: "its service has no health path"})
+				s.dispatchQueued(service)
+
+				continue
+			}
 			srv.probing, srv.nextProbeAt = true, s.now+probeInterval
-			s.emit(Probe{Server: srv.Server, Path: s.intent.Services[service].HealthPath})
+			s.emit(Probe{Server: srv.Server, Path: path})
 		}
 	}
 }
--- a/internal/steer/intent/intent.go
+++ b/internal/steer/intent/intent.go
@@ -53,7 +53,7 @@
 // Service configures the backend servers of one service.
 type Service struct {
 	Name string
-	// HealthPath is the path of the servers' health check.
+	// HealthPath is the path of the servers' health check, "" if they have none.
 	HealthPath string
 	// MaxConnections bounds the connections of all entry VMs to one server; 0 is no limit.
 	MaxConnections int
--- a/internal/wire/http1/pool_test.go
+++ b/internal/wire/http1/pool_test.go
@@ -299,3 +299,21 @@
 		require.Zero(t, runs.Load(), "instance %q", instance)
 	}
 }
+
+// Guards against a probe whose path ends the request line, so that the server gets another
+// request than the health check.
+func TestProbeSendsOnlyPaths(t *testing.T) {
+	t.Parallel()
+	var requests atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { requests.Add(1) }))
+	t.Cleanup(server.Close)
+	p := http1.NewPool(testNames, testResponseMemory)
+	for _, path := range []string{"", "health", "/health HTTP/1.1\r\nHost: a\r\n\r\nDELETE /x", "/\n", "/ ", "/\x00", "/\u00e9"} {
+		_, err := p.Probe(t.Context(), http1.Target{Address: server.Listener.Addr().String()}, path)
+		require.Error(t, err, "path %q", path)
+		require.Zero(t, requests.Load(), "path %q", path)
+	}
+	health, err := p.Probe(t.Context(), http1.Target{Address: server.Listener.Addr().String()}, "/health")
+	require.NoError(t, err)
+	require.True(t, health.Healthy)
+}
--- a/internal/wire/http1/response.go
+++ b/internal/wire/http1/response.go
@@ -167,9 +167,15 @@
 	Instance string
 }
 
+// errInvalidPath means that a request line cannot carry a health path.
+var errInvalidPath = errors.New("health path has bytes that a request line cannot carry")
+
 // Probe requests a server's health path on a connection of its own. It fails when there
 // is no response before ctx ends.
 func (p *Pool) Probe(ctx context.Context, to Target, path string) (Health, error) {
+	if !IsPath(path) {
+		return Health{}, errInvalidPath
+	}
 	raw, err := p.dialer.DialContext(ctx, "tcp", to.Address)
 	if err != nil {
 		return Health{}, fmt.Errorf("connect to backend server %s: %w", to.Address, err)
