wire/http1: refuse requests whose head net/http and a server may read differently

What servers could get, shown by tests on the code before:

- A caller's "Content-Length : 4" or "Transfer-Encoding : chunked", with whitespace before the colon, was passed on as it was, the request without its body, and the body was taken for another request.
A server that ignores the whitespace waits for a body there, and takes it from the next request on the connection, which may be another caller's.
- "Transfer-Encoding: chunked" in HTTP/1.0: the request was passed on without its body.
- A Host with spaces or bytes above 126 was passed on, where a port ends the name that selects the route.
- A line that begins with whitespace was joined to the value before it.

Cause: net/http takes a space as a part of a name and ignores transfer encodings in HTTP/1.0. Its server checks the names and the host afterwards; http.ReadRequest, which this program uses, does not. Responses have been scanned since, requests were not.

Change: HeadScanner scans the heads of requests too, as they are read, and the host is checked. Such a request gets 400 and its connection is closed (RFC 9112, sections 5.1, 5.2, 6.1).

--- a/internal/wire/http1/caller.go
+++ b/internal/wire/http1/caller.go
@@ -12,7 +12,10 @@
 	"sync"
 	"time"
 
+	"golang.org/x/net/http/httpguts"
+
 	"github.com/greengagetally/greengagetally/internal/value/units"
+	wirehttp "github.com/greengagetally/greengagetally/internal/wire/http"
 )
 
 const (
@@ -83,10 +86,38 @@
 var errHeaderTooLong = errors.New("header is too long")
 
 // limitedReader returns at most as many bytes as the field remaining says, then fails
-// with errHeaderTooLong. A negative value of remaining means no limit.
+// with errHeaderTooLong. A negative value of remaining means no limit. While it reads a head,
+// it fails if the head is broken.
 type limitedReader struct {
 	source    io.Reader
 	remaining int
+	// scanning is true while a head is read and its end has not been seen.
+	scanning bool
+	scanner  wirehttp.HeadScanner
+}
+
+// beginHead expects the head of a request, whose first bytes have been read before.
+func (l *limitedReader) beginHead(first []byte) error {
+	l.scanning, l.scanner = true, wirehttp.NewRequestScanner()
+
+	return l.scan(first)
+}
+
+// endHead expects no further bytes of the head.
+func (l *limitedReader) endHead() {
+	l.scanning = false
+}
+
+func (l *limitedReader) scan(p []byte) error {
+	if !l.scanning {
+		return nil
+	}
+	if _, err := l.scanner.Scan(p); err != nil {
+		return fmt.Errorf("read head of request: %w", err)
+	}
+	l.scanning = !l.scanner.Ended()
+
+	return nil
 }
 
 func (l *limitedReader) Read(p []byte) (int, error) {
@@ -100,6 +131,9 @@
 	if l.remaining > 0 {
 		l.remaining -= n
 	}
+	if scanErr := l.scan(p[:n]); scanErr != nil {
+		return 0, scanErr
+	}
 
 	return n, err //nolint:wrapcheck // A reader must return io.EOF as it is.
 }
@@ -261,8 +295,16 @@
 	}
 	_ = c.raw.SetReadDeadline(deadline)
 	c.limited.remaining = max(limits.HeaderBytes-c.reader.Buffered(), 0)
+	first, _ := c.reader.Peek(c.reader.Buffered())
+	if err := c.limited.beginHead(first); err != nil {
+		return nil, http.StatusBadRequest, nil //nolint:nilerr // The status says it to the caller.
+	}
 	r, err := http.ReadRequest(c.reader)
+	c.limited.endHead()
 	c.limited.remaining = -1
+	if err == nil && !httpguts.ValidHostHeader(r.Host) {
+		return nil, http.StatusBadRequest, nil
+	}
 	if err != nil {
 		status := refusalStatus(err)
 		if status == 0 {
--- a/internal/wire/http1/key.go
+++ b/internal/wire/http1/key.go
@@ -8,18 +8,11 @@
 // keyScheme is the scheme of the header Names.Key; it is compared without regard to case.
 const keyScheme = "Bearer"
 
-// isHeader reports whether a header of a caller counts as the one with the given name.
-// http.ReadRequest accepts spaces before the colon and keeps them in the name; a server may
-// ignore them.
-func isHeader(header, name string) bool {
-	return strings.EqualFold(strings.TrimSpace(header), name)
-}
-
-// valuesOf returns the values of all headers that count as the one with the given name.
+// valuesOf returns the values of all headers with the given name, without regard to case.
 func valuesOf(h http.Header, name string) []string {
 	var out []string
 	for header, values := range h {
-		if isHeader(header, name) {
+		if strings.EqualFold(header, name) {
 			out = append(out, values...)
 		}
 	}
@@ -32,7 +25,7 @@
 // there is exactly one header Names.Key with the scheme keyScheme and one token.
 func (r *Request) TakeKey(names Names) (string, bool) {
 	for header := range r.Header {
-		if isHeader(header, names.Key) || isHeader(header, names.Customer) {
+		if strings.EqualFold(header, names.Key) || strings.EqualFold(header, names.Customer) {
 			delete(r.Header, header)
 		}
 	}
