wire/http1: answer a request whose target cannot be parsed

Callers saw (in tests): a request with a control character in its target, or another target that net/url refuses, got no answer. The connection was closed, and the answers to the requests before it on that connection, which had been passed on, were dropped, those of bookings too.

Cause: an error that is a net.Error counts as one of the connection, so that the caller has left. url.Error has the methods of net.Error.

Change: such a request gets 400 after the answers before it.

Evidence: five new cases of testdata/broken-requests; behind another request the answer to that one was missing before.

--- a/internal/wire/http1/caller.go
+++ b/internal/wire/http1/caller.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/url"
 	"slices"
 	"strconv"
 	"sync"
@@ -341,7 +342,11 @@
 // caller has left.
 func refusalStatus(err error) int {
 	var netErr net.Error
+	var targetErr *url.Error
 	switch {
+	case errors.As(err, &targetErr):
+		// It implements net.Error, too.
+		return http.StatusBadRequest
 	case errors.Is(err, errHeaderTooLong):
 		return http.StatusRequestHeaderFieldsTooLarge
 	case isTimeout(err):
