explain: quote fields with line ends and control characters

What operators could see: a field that a caller or server chooses, such as the error about a response, was printed as it was. A line end in it began a line that looked like one of the log, and an escape sequence changed the terminal.

Cause: the log is JSON, which escapes such characters; explain decodes it and printed the text.

Change: a field with a character that is not printable is quoted.

Evidence: the new lines of test/testdata/explain.txtar failed (the output had a line "t9 entry-1 forged") and pass.

--- a/internal/cli/cmd/cmd_explain.go
+++ b/internal/cli/cmd/cmd_explain.go
@@ -9,7 +9,9 @@
 	"maps"
 	"os"
 	"slices"
+	"strconv"
 	"strings"
+	"unicode"
 )
 
 // maxLogLineBytes bounds one line of a log; a longer one makes the command fail.
@@ -152,10 +154,21 @@
 	for _, line := range lines {
 		fmt.Fprintf(&out, "%s %s %s", line.Time, line.Source, line.Message)
 		for _, name := range slices.Sorted(maps.Keys(line.Fields)) {
-			fmt.Fprintf(&out, " %s=%v", name, line.Fields[name])
+			fmt.Fprintf(&out, " %s=%s", name, printable(line.Fields[name]))
 		}
 		out.WriteString("\n")
 	}
 
 	return out.String()
 }
+
+// printable returns the text of a field, quoted if it would change the output: callers and
+// servers choose what some fields hold.
+func printable(field any) string {
+	text := fmt.Sprint(field)
+	if strings.ContainsFunc(text, func(r rune) bool { return !unicode.IsPrint(r) }) {
+		return strconv.Quote(text)
+	}
+
+	return text
+}
