wire/http1: take a 421 for "not run" only from another server, or with its word

What servers could get (in a test): a server ran a booking and answered it with 421, without stating that it had not run. The booking was sent to a second server, which ran it too, and the caller got 200.

Cause: each 421 counted as "not run", because a server whose address was given to another one answers so. But PROTOCOL.md says of X-Not-Executed that no other response states it, and a server may pass on the 421 of a service of its own.

Where it names none, the address counts as taken over, as before, but the request may have run. Where it names the expected server, it is that server's answer. An attempt that ends so is not taken for a server that the request has crashed.

The row "another instance" and TestLeavingAndPauseAreRecognised sent no identity and now do; what they ask is unchanged. The soak's servers identify themselves in a 421, too.

--- a/internal/steer/direct/attempt.go
+++ b/internal/steer/direct/attempt.go
@@ -126,7 +126,7 @@
 	s.countRefusal(srv, e)
 	s.extendCold(srv, e.ColdFor)
 	s.recordNotice(srv, e.Leaving, e.PauseFor)
-	if e.Outcome == Unknown && !e.TimedOut {
+	if e.Outcome == Unknown && !e.TimedOut && !e.OtherInstance {
 		s.suspects.recordLoss(s.now, r.fingerprint, srv.incarnation, true)
 	} else if e.Outcome == Answered {
 		s.suspects.clear(r.fingerprint)
--- a/internal/wire/http1/attempt.go
+++ b/internal/wire/http1/attempt.go
@@ -40,7 +40,8 @@
 	// ColdFor is how long the server says that it stays cold. A cold server has started
 	// recently and tolerates few requests.
 	ColdFor option.Option[time.Duration]
-	// OtherInstance is true when another server has taken over the address.
+	// OtherInstance is true when another server has taken over the address. The outcome is
+	// Unknown if that server does not identify itself.
 	OtherInstance bool
 	// Leaving is true when the server says that it is leaving and wants no new requests.
 	Leaving bool
@@ -77,6 +78,10 @@
 	maxInlineBody = 32 << 10
 )
 
+// errUnclearInstance means that a response with status 421 tells neither who sent it nor that the
+// request has not run.
+var errUnclearInstance = errors.New("response with status 421 does not state that the request has not run")
+
 // errInvalidInstance means that a header cannot carry Target.Instance.
 var errInvalidInstance = errors.New("identity of the backend server has bytes that a header cannot carry")
 
@@ -130,7 +135,12 @@
 	if err != nil {
 		return Result{Outcome: Unknown, Err: err}
 	}
-	result := p.parseResult(resp)
+	result := p.parseResult(resp, c.target)
+	if result.Outcome == Unknown {
+		result.Response.Status, result.Err = resp.StatusCode, errUnclearInstance
+
+		return result
+	}
 	result.Response = Response{Status: resp.StatusCode, Header: endToEndHeader(resp.Header), Length: resp.ContentLength}
 	mustClose := resp.Close || r.ID == ""
 	length := resp.ContentLength
--- a/internal/wire/http1/endless_test.go
+++ b/internal/wire/http1/endless_test.go
@@ -141,7 +141,7 @@
 	address, _ := startScriptedServer(t, []string{
 		"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nLeaving: 1\r\nContent-Length: 0\r\n\r\n",
 		"HTTP/1.1 503 No\r\nRequest-Id: %s\r\nNot-Run: 1\r\nRetry-After: 1.5\r\nContent-Length: 0\r\n\r\n",
-		"HTTP/1.1 421 No\r\nRequest-Id: %s\r\nLeaving: 1\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 421 No\r\nRequest-Id: %s\r\nInstance: other\r\nLeaving: 1\r\nContent-Length: 0\r\n\r\n",
 	})
 	p := http1.NewPool(testNames, testResponseMemory)
 	result := do(t, p, address, "1")
--- a/internal/wire/http1/names.go
+++ b/internal/wire/http1/names.go
@@ -18,7 +18,8 @@
 	Deadline string
 	// ObjectCookie is the cookie that names the object that a request concerns.
 	ObjectCookie string
-	// ExpectInstance names the only server that may run the request.
+	// ExpectInstance names the only server that may run the request. Any other one responds with
+	// status 421 and its own identity in Instance.
 	ExpectInstance string
 	// NotRun marks the response of a server that did not run the request.
 	NotRun string
--- a/internal/wire/http1/pool_test.go
+++ b/internal/wire/http1/pool_test.go
@@ -104,7 +104,11 @@
 		{"status with four digits", "HTTP/1.1 2000 OK\r\nRequest-Id: %s\r\nContent-Length: 2\r\n\r\nno", http1.Unknown, ""},
 		{"another protocol version", "HTTP/3.0 200 OK\r\nRequest-Id: %s\r\nContent-Length: 2\r\n\r\nno", http1.Unknown, ""},
 		{"refused", "HTTP/1.1 503 No\r\nRequest-Id: %s\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", http1.NotRun, ""},
-		{"another instance", "HTTP/1.1 421 No\r\nRequest-Id: %s\r\nContent-Length: 0\r\n\r\n", http1.NotRun, ""},
+		{"refused with 200", "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", http1.NotRun, ""},
+		{"another instance", "HTTP/1.1 421 No\r\nRequest-Id: %s\r\nInstance: other\r\nContent-Length: 0\r\n\r\n", http1.NotRun, ""},
+		{"some instance, not run", "HTTP/1.1 421 No\r\nRequest-Id: %s\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", http1.NotRun, ""},
+		{"some instance", "HTTP/1.1 421 No\r\nRequest-Id: %s\r\nContent-Length: 0\r\n\r\n", http1.Unknown, ""},
+		{"the expected instance", "HTTP/1.1 421 No\r\nRequest-Id: %s\r\nInstance: i\r\nContent-Length: 2\r\n\r\nno", http1.Answered, "no"},
 		{"own failure", "HTTP/1.1 503 No\r\nRequest-Id: %s\r\nContent-Length: 0\r\n\r\n", http1.Answered, ""},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/wire/http1/response.go
+++ b/internal/wire/http1/response.go
@@ -96,9 +96,9 @@
 	return nil, errNoMatchingResponse
 }
 
-// parseResult returns what the status and the headers say about the request and the
-// server.
-func (p *Pool) parseResult(resp *http.Response) Result {
+// parseResult returns what the status and the headers of a response from a target say about the
+// request and the server.
+func (p *Pool) parseResult(resp *http.Response, to Target) Result {
 	result := Result{Outcome: Answered}
 	if load, ok := parseLoad(resp.Header.Get(p.names.Load)); ok {
 		result.Load = option.Some(load)
@@ -111,11 +111,16 @@
 			result.PauseFor = option.Some(pause)
 		}
 	}
+	instance := resp.Header.Get(p.names.Instance)
+	result.OtherInstance = resp.StatusCode == http.StatusMisdirectedRequest && instance != to.Instance
 	switch {
-	case resp.StatusCode == http.StatusMisdirectedRequest:
-		result.Outcome, result.OtherInstance = NotRun, true
 	case resp.Header.Get(p.names.NotRun) != "":
 		result.Outcome = NotRun
+	case result.OtherInstance && instance != "" && to.Instance != "":
+		// The server is not the one that the request expects, so it did not run it.
+		result.Outcome = NotRun
+	case result.OtherInstance:
+		result.Outcome = Unknown
 	}
 	result.Leaving = !result.OtherInstance && resp.Header.Get(p.names.Leaving) == "1"
 
@@ -195,5 +200,5 @@
 		return Health{}, fmt.Errorf("read response of health path: %w", err)
 	}
 
-	return Health{Result: p.parseResult(resp), Healthy: resp.StatusCode == http.StatusOK, Instance: resp.Header.Get(p.names.Instance)}, nil
+	return Health{Result: p.parseResult(resp, to), Healthy: resp.StatusCode == http.StatusOK, Instance: resp.Header.Get(p.names.Instance)}, nil
 }
--- a/internal/wire/http1/response_test.go
+++ b/internal/wire/http1/response_test.go
@@ -40,7 +40,7 @@
 	p := NewPool(Names{Load: "Load", ColdMillis: "Cold"}, 0)
 	f.Fuzz(func(t *testing.T, value string) {
 		h := http.Header{"Load": {value}, "Cold": {value}, "Retry-After": {value}, "Keep-Alive": {value}}
-		result := p.parseResult(&http.Response{StatusCode: http.StatusServiceUnavailable, Header: h})
+		result := p.parseResult(&http.Response{StatusCode: http.StatusServiceUnavailable, Header: h}, Target{})
 		if load, ok := result.Load.Get(); ok {
 			require.LessOrEqual(t, load.Slowdown, float64(maxLoadPercent)/100)
 			require.GreaterOrEqual(t, load.Slowdown, 0.0)
