steer/direct: withhold a server's refusal of a request that may have run

Callers saw: a booking that had run was answered with the server's 503.

Cause: the statuses 408, 421, 429 and 503 promise callers that the request has not run and never will. A server promises that with X-Not-Executed only; a response without it was passed on as it was on routes whose requests must not be repeated, whatever its status. The reducer decides that, not the reader of responses: it knows the route.

Change: on such a route, the caller gets a 502 in place of such a response, without the server's body, stamp and headers, so that nothing in it promises anything. It is logged and counted with the reason unclear-refusal, with the withheld status. Callers whose requests may be repeated get the response as it is, or another server's, as before: PROTOCOL.md asks for the server's status, and a repeat does them no harm.

Evidence: the scripts in testdata/refusal responded with all four statuses before. TestRefusalOfARequestThatHasRunIsNotPassedOn got 408 where 502 is expected, and six rows of TestOnlyAStatementAllowsASecondAttempt failed.

--- a/internal/run/direct/serve.go
+++ b/internal/run/direct/serve.go
@@ -285,7 +285,11 @@
 		status = http.StatusGatewayTimeout
 	}
 	r.metrics.Refused("unknown", string(failure.Reason))
-	r.log.Info("request failed", r.fields(zap.String("reason", string(failure.Reason)), zap.Int("status", status))...)
+	fields := r.fields(zap.String("reason", string(failure.Reason)), zap.Int("status", status))
+	if failure.WithheldStatus != 0 {
+		fields = append(fields, zap.Int("withheld-status", failure.WithheldStatus))
+	}
+	r.log.Info("request failed", fields...)
 	r.exchange.Respond(newResponse(status, r.exchange.ID, r.deployment.Names()))
 }
 
--- a/internal/steer/direct/attempt.go
+++ b/internal/steer/direct/attempt.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/greengagetally/greengagetally/internal/value/option"
+	"github.com/greengagetally/greengagetally/internal/value/set"
 )
 
 const (
@@ -13,6 +14,10 @@
 	statusGatewayTimeout = 504
 )
 
+// notRunStatuses are the statuses that callers take as the promise that their request has not run
+// and never will: timeout of the request, misdirected, too many, unavailable.
+var notRunStatuses = set.New(408, 421, 429, 503)
+
 // attemptEnded records the outcome of an attempt and responds, retries or gives up.
 func (s *state) attemptEnded(e AttemptEnded) {
 	r, ok := s.requests[e.ID]
@@ -44,6 +49,10 @@
 		}
 	}
 	switch {
+	case e.Outcome == Answered && !r.route.Idempotent && notRunStatuses.Has(e.Status):
+		// The server did not state it. A caller who believed it would send the request again.
+		s.forget(r)
+		s.emit(Fail{ID: r.id, Reason: ReasonUnclearRefusal, WithheldStatus: e.Status})
 	case e.Outcome == Answered && (e.Status < minServerErrorStatus || !r.route.Idempotent || e.Status == statusGatewayTimeout):
 		s.forget(r)
 		s.emit(ReturnResponse{ID: r.id})
--- a/internal/steer/direct/event.go
+++ b/internal/steer/direct/event.go
@@ -265,6 +265,9 @@
 	ReasonDeadline Reason = "deadline"
 	// ReasonAttemptLost: an attempt ended without a complete response.
 	ReasonAttemptLost Reason = "attempt-lost"
+	// ReasonUnclearRefusal: a server's response says by its status that a request which must not
+	// be repeated has not run, but does not state it as a server does that has not run one.
+	ReasonUnclearRefusal Reason = "unclear-refusal"
 	// ReasonCrashesServers: several servers in a row were lost to requests with the same
 	// content.
 	ReasonCrashesServers Reason = "crashes-servers"
@@ -342,6 +345,8 @@
 		Reason Reason
 		// TimedOut is true when the attempt reached its deadline or the end of the entry VM.
 		TimedOut bool
+		// WithheldStatus is that of a response that the caller must not get; 0 if there is none.
+		WithheldStatus int
 	}
 	// Probe requests the health path of a server; ProbeEnded reports the result.
 	Probe struct {
--- a/internal/steer/direct/script_test.go
+++ b/internal/steer/direct/script_test.go
@@ -34,6 +34,12 @@
 	runScripts(t, "testdata/suspect")
 }
 
+// TestRefusals runs the scripts in testdata/refusal, about servers that refuse requests.
+func TestRefusals(t *testing.T) {
+	t.Parallel()
+	runScripts(t, "testdata/refusal")
+}
+
 // TestBodies runs the scripts in testdata/bodies, about servers whose memory long bodies fill.
 func TestBodies(t *testing.T) {
 	t.Parallel()
