steer/caller: withhold refusals of requests that may have run, as in direct

Callers of greengagetally entry saw (in a test): a backend server ran a POST, answered 503, 429, 408 or 421 without Greengagetally-Outcome, and the caller got that status, with the server's Retry-After. The system's own refusals say with a header that a request has not run, but callers, and what stands between them and the entry VM, go by the status.

Change: on a route that is not idempotent the caller gets 502, outcome unknown, reason unclear-refusal. It holds for responses of backend servers and of the entry VM to which a request was carried. With an idempotency key the response is not held either: a later request with the key gets 409, as after any attempt whose answer was lost. Which statuses promise that is in value/status, for both reducers.

--- a/internal/run/process/answer_test.go
+++ b/internal/run/process/answer_test.go
@@ -201,6 +201,19 @@
 		{"refused by the backend server", rawBackend(t, func(*http.Request) (string, bool) {
 			return "HTTP/1.1 503 Busy\r\nGreengagetally-Outcome: not-run\r\nContent-Length: 0\r\n\r\n", false
 		}), http.StatusServiceUnavailable, "not-run"},
+		// The server has run the request, and does not say otherwise.
+		{"408 after the request ran", rawBackend(t, func(*http.Request) (string, bool) {
+			return "HTTP/1.1 408 No\r\nContent-Length: 2\r\n\r\nno", false
+		}), http.StatusBadGateway, "unknown"},
+		{"421 after the request ran", rawBackend(t, func(*http.Request) (string, bool) {
+			return "HTTP/1.1 421 No\r\nContent-Length: 2\r\n\r\nno", false
+		}), http.StatusBadGateway, "unknown"},
+		{"429 after the request ran", rawBackend(t, func(*http.Request) (string, bool) {
+			return "HTTP/1.1 429 No\r\nRetry-After: 1\r\nContent-Length: 2\r\n\r\nno", false
+		}), http.StatusBadGateway, "unknown"},
+		{"503 after the request ran", rawBackend(t, func(*http.Request) (string, bool) {
+			return "HTTP/1.1 503 No\r\nRetry-After: 1\r\nContent-Length: 2\r\n\r\nno", false
+		}), http.StatusBadGateway, "unknown"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
@@ -210,6 +223,7 @@
 			require.Equal(t, c.status, status)
 			require.Equal(t, c.outcome, header.Get("Greengagetally-Outcome"))
 			require.NotEmpty(t, header.Get("Greengagetally-Reason"))
+			require.Equal(t, c.outcome == "not-run", header.Get("Retry-After") != "")
 		})
 	}
 }
--- a/internal/steer/caller/attempt.go
+++ b/internal/steer/caller/attempt.go
@@ -4,6 +4,7 @@
 	"github.com/greengagetally/greengagetally/internal/config/model"
 	"github.com/greengagetally/greengagetally/internal/steer/backend"
 	"github.com/greengagetally/greengagetally/internal/steer/event"
+	"github.com/greengagetally/greengagetally/internal/value/status"
 )
 
 // sendToBackend sends a request to the named backend server. A token of that server
@@ -103,8 +104,7 @@
 	}
 }
 
-// headerReceived relays the response whose header came first and cancels the other
-// attempts.
+// headerReceived answers with the response whose header came first.
 func (t *requestTable) headerReceived(e event.HeaderReceived) {
 	r, ok := t.requests[e.Request]
 	if !ok || r.phase != running {
@@ -114,7 +114,20 @@
 	if i := r.attemptIndex(e.Attempt); i < 0 || r.attempts[i].canceled {
 		return
 	}
-	t.relayResponse(r, e.Attempt)
+	t.answer(r, e.Attempt, e.Status)
+}
+
+// answer relays the response of an attempt and cancels the other attempts. It withholds the
+// response if its status would tell the caller that a request which must not be repeated has not
+// run: a backend server that has not run one says so in a header, which is ResultRefused.
+func (t *requestTable) answer(r *request, id event.AttemptID, code int) {
+	if !r.Traits.Idempotent && status.SaysNotRun(code) {
+		r.mayHaveRun = true
+		t.refuse(r, event.ReasonUnclearRefusal)
+
+		return
+	}
+	t.relayResponse(r, id)
 }
 
 func (t *requestTable) cancel(r *request, i int) {
@@ -193,7 +206,7 @@
 // in flight.
 func (t *requestTable) answerOrRetry(r *request, a attempt, e event.AttemptEnded) {
 	if e.Result == event.ResultComplete && !a.canceled {
-		t.relayResponse(r, e.Attempt)
+		t.answer(r, e.Attempt, e.Status)
 		t.forgetIfDone(r)
 
 		return
--- a/internal/steer/direct/attempt.go
+++ b/internal/steer/direct/attempt.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/greengagetally/greengagetally/internal/value/option"
-	"github.com/greengagetally/greengagetally/internal/value/set"
+	"github.com/greengagetally/greengagetally/internal/value/status"
 )
 
 const (
@@ -14,10 +14,6 @@
 	statusGatewayTimeout = 504
 )
 
-// notRunStatuses are the statuses that callers take as the promise that their request has not run
-// and never will: timeout of the request, misdirected, too many, unavailable.
-var notRunStatuses = set.New(408, 421, 429, 503)
-
 // attemptEnded records the outcome of an attempt and responds, retries or gives up.
 func (s *state) attemptEnded(e AttemptEnded) {
 	r, ok := s.requests[e.ID]
@@ -49,7 +45,7 @@
 		}
 	}
 	switch {
-	case e.Outcome == Answered && !r.route.Idempotent && notRunStatuses.Has(e.Status):
+	case e.Outcome == Answered && !r.route.Idempotent && status.SaysNotRun(e.Status):
 		// The server did not state it. A caller who believed it would send the request again.
 		s.forget(r)
 		s.emit(Fail{ID: r.id, Reason: ReasonUnclearRefusal, WithheldStatus: e.Status})
--- a/internal/steer/event/caller.go
+++ b/internal/steer/event/caller.go
@@ -55,6 +55,9 @@
 	ReasonUnknownService Reason = "unknown-service"
 	// ReasonBackendFailed: an attempt at a backend server or entry VM failed.
 	ReasonBackendFailed Reason = "backend-failed"
+	// ReasonUnclearRefusal: the status of a response says that a request which must not be
+	// repeated has not run, but its headers do not.
+	ReasonUnclearRefusal Reason = "unclear-refusal"
 	// ReasonDeadline: the deadline passed.
 	ReasonDeadline Reason = "deadline"
 	// ReasonKeyClaimed: the idempotency key was claimed before.
