--- a/internal/steer/caller/script_test.go
+++ b/internal/steer/caller/script_test.go
@@ -143,11 +143,11 @@
 	case "tick":
 		return f.handle(event.Tick{At: at})
 	case "header":
-		return f.handle(event.HeaderReceived{At: at, Request: id, Attempt: attemptID, Status: int(argNumber(t, d, "status", 200))})
+		return f.handle(event.HeaderReceived{At: at, Request: id, Attempt: attemptID, Status: argNumber(t, d, "status", 200)})
 	case "ended":
 		return f.handle(event.AttemptEnded{
 			At: at, Request: id, Attempt: attemptID, Result: results[argText(d, "result", "complete")],
-			Reason: event.Reason(argText(d, "reason", "")), Status: int(argNumber(t, d, "status", 0)),
+			Reason: event.Reason(argText(d, "reason", "")), Status: argNumber(t, d, "status", 0),
 		})
 	case "disconnect":
 		return f.handle(event.CallerDisconnected{At: at, ID: id})
