config history: quote messages with line ends

What operators could see: the message of a change was printed as it was. One with a line end began a line that looked like another record of the history, with any author.

Change: authors, messages, names of files and details are quoted if they hold a character that is not printable, as explain does.

--- a/internal/cli/cmd/cmd_config_history.go
+++ b/internal/cli/cmd/cmd_config_history.go
@@ -32,6 +32,13 @@
 	if err != nil {
 		return err
 	}
+
+	return writeResult(env, *output, history, historyText(history))
+}
+
+// historyText returns a line for each record, and one for its detail. Operators and what they
+// send choose the texts.
+func historyText(history *operatorapi.History) string {
 	var text strings.Builder
 	for _, r := range history.Records {
 		version := "-"
@@ -39,11 +46,11 @@
 			version = fmt.Sprint(v)
 		}
 		fmt.Fprintf(&text, "%s  %-8s  version %s (base %d)  %s  %s  [%s]\n", r.Time.UTC().Format(time.RFC3339), r.Result, version,
-			r.BaseMinusVersion, r.Author, r.Message, strings.Join(r.Files, ", "))
+			r.BaseMinusVersion, printable(r.Author), printable(r.Message), printable(strings.Join(r.Files, ", ")))
 		if detail, ok := r.Detail.Get(); ok {
-			fmt.Fprintf(&text, "    %s\n", detail)
+			fmt.Fprintf(&text, "    %s\n", printable(detail))
 		}
 	}
 
-	return writeResult(env, *output, history, text.String())
+	return text.String()
 }
