wire/caller: refuse bodies without a length in HTTP/1.0

That version has no transfer encodings; net/http removes the header and takes the request for one without a body.

Change: a POST, PUT or PATCH of HTTP/1.0 without Content-Length gets 411 and the outcome not-run, reason length-missing. RFC 1945, section 8.3, asks for the length.

--- a/internal/run/process/answer_test.go
+++ b/internal/run/process/answer_test.go
@@ -348,3 +348,34 @@
 	}
 	_ = c.Close()
 }
+
+// Guards against a request that reaches a backend server without its body, because its version
+// of HTTP has no transfer encodings and it states no length.
+func TestRequestWithoutLengthIsRefused(t *testing.T) {
+	t.Parallel()
+	var ran atomic.Int64
+	f := startProcess(t, testSettings(), backendServer(t, func(http.ResponseWriter, *http.Request) { ran.Add(1) }))
+	for _, c := range []struct {
+		request string
+		status  int
+		ran     int64
+	}{
+		{"POST / HTTP/1.0\r\nHost: booking.test\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", http.StatusLengthRequired, 0},
+		{"PUT / HTTP/1.0\r\nHost: booking.test\r\n\r\n", http.StatusLengthRequired, 0},
+		{"POST / HTTP/1.0\r\nHost: booking.test\r\nContent-Length: 4\r\n\r\nbody", http.StatusOK, 1},
+		{"POST / HTTP/1.0\r\nHost: booking.test\r\nContent-Length: 0\r\n\r\n", http.StatusOK, 1},
+		{"GET / HTTP/1.0\r\nHost: booking.test\r\n\r\n", http.StatusOK, 1},
+		{"POST / HTTP/1.1\r\nHost: booking.test\r\nConnection: close\r\n\r\n", http.StatusOK, 1},
+	} {
+		conn, err := net.Dial("tcp", f.process.listeners.request.Addr().String())
+		require.NoError(t, err)
+		_, err = io.WriteString(conn, c.request)
+		require.NoError(t, err)
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		require.NoError(t, err)
+		require.NoError(t, resp.Body.Close())
+		require.NoError(t, conn.Close())
+		require.Equal(t, c.status, resp.StatusCode, "%q", c.request)
+		require.Equal(t, c.ran, ran.Swap(0), "%q", c.request)
+	}
+}
--- a/internal/steer/event/caller.go
+++ b/internal/steer/event/caller.go
@@ -46,6 +46,8 @@
 	// ReasonKeyMalformed: the idempotency key has a wrong form or a time in the
 	// future.
 	ReasonKeyMalformed Reason = "key-malformed"
+	// ReasonLengthMissing: the request may have a body whose end cannot be told.
+	ReasonLengthMissing Reason = "length-missing"
 	// ReasonStopping: the entry VM is stopping.
 	ReasonStopping Reason = "stopping"
 	// ReasonStaleEntry: the entry VM has lost contact with the store and with the
--- a/internal/wire/caller/refuse.go
+++ b/internal/wire/caller/refuse.go
@@ -91,6 +91,8 @@
 		return http.StatusNotFound
 	case event.ReasonKeyMalformed, event.ReasonKeyExpired:
 		return http.StatusBadRequest
+	case event.ReasonLengthMissing:
+		return http.StatusLengthRequired
 	default:
 		return http.StatusServiceUnavailable
 	}
--- a/internal/wire/caller/request.go
+++ b/internal/wire/caller/request.go
@@ -126,6 +126,11 @@
 
 		return
 	}
+	if lacksLength(r) {
+		h.writeRefusal(w, event.Refuse{Outcome: event.OutcomeNotRun, Reason: event.ReasonLengthMissing})
+
+		return
+	}
 	key, reason := h.idempotencyKey(r)
 	if reason != "" {
 		h.writeRefusal(w, event.Refuse{Outcome: event.OutcomeNotRun, Reason: reason})
@@ -162,6 +167,17 @@
 	h.metrics.Served(service.Name, h.reducer.Now()-start)
 }
 
+// lacksLength reports whether a request of HTTP/1.0 may have a body although it states no length.
+// net/http removes a transfer encoding from it, which that version does not have, and takes the
+// request for one without a body.
+func lacksLength(r *http.Request) bool {
+	if r.ProtoAtLeast(1, 1) || r.ContentLength > 0 || r.Header["Content-Length"] != nil {
+		return false
+	}
+
+	return r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch
+}
+
 // service returns the service of the request, or the reason to refuse it.
 func (h *RequestHandler) service(r *http.Request, from origin) (model.Service, event.Reason) {
 	config := h.reducer.Config()
