steer/caller: a withheld response finishes its request once

Found by reading: where the whole response is there at once, the request was forgotten by the refusal and again behind it, so that a claimed key was finished twice.

--- a/internal/steer/caller/attempt.go
+++ b/internal/steer/caller/attempt.go
@@ -104,7 +104,8 @@
 	}
 }
 
-// headerReceived answers with the response whose header came first.
+// headerReceived relays the response whose header came first, unless it is withheld, and
+// cancels the other attempts.
 func (t *requestTable) headerReceived(e event.HeaderReceived) {
 	r, ok := t.requests[e.Request]
 	if !ok || r.phase != running {
@@ -114,20 +115,22 @@
 	if i := r.attemptIndex(e.Attempt); i < 0 || r.attempts[i].canceled {
 		return
 	}
-	t.answer(r, e.Attempt, e.Status)
+	if !t.withhold(r, e.Status) {
+		t.relayResponse(r, e.Attempt)
+	}
 }
 
-// answer relays the response of an attempt and cancels the other attempts. It withholds the
-// response if its status would tell the caller that a request which must not be repeated has not
-// run: a backend server that has not run one says so in a header, which is ResultRefused.
-func (t *requestTable) answer(r *request, id event.AttemptID, code int) {
-	if !r.Traits.Idempotent && status.SaysNotRun(code) {
-		r.mayHaveRun = true
-		t.refuse(r, event.ReasonUnclearRefusal)
-
-		return
+// withhold refuses a request in place of a response whose status would tell the caller that a
+// request which must not be repeated has not run. It returns false for any other response. A
+// backend server that has not run a request says so in a header, which is ResultRefused.
+func (t *requestTable) withhold(r *request, code int) bool {
+	if r.Traits.Idempotent || !status.SaysNotRun(code) {
+		return false
 	}
-	t.relayResponse(r, id)
+	r.mayHaveRun = true
+	t.refuse(r, event.ReasonUnclearRefusal)
+
+	return true
 }
 
 func (t *requestTable) cancel(r *request, i int) {
@@ -206,8 +209,10 @@
 // in flight.
 func (t *requestTable) answerOrRetry(r *request, a attempt, e event.AttemptEnded) {
 	if e.Result == event.ResultComplete && !a.canceled {
-		t.answer(r, e.Attempt, e.Status)
-		t.forgetIfDone(r)
+		if !t.withhold(r, e.Status) {
+			t.relayResponse(r, e.Attempt)
+			t.forgetIfDone(r)
+		}
 
 		return
 	}
