Tests: an older configuration does not replace limits

The product ignores an older configuration already. The stand-in of quota's tests did not, where a frozen VM got two at once.

--- a/internal/steer/quota/safety_test.go
+++ b/internal/steer/quota/safety_test.go
@@ -117,7 +117,7 @@
 			changeAt, next = end/2, drawLimit("next")
 		}
 		w.after(changeAt, func() {
-			w.limits["c"] = next
+			w.changeLimit("c", next)
 			for _, v := range w.vms {
 				w.after(w.uniform(time.Second), func() { w.configure(v) })
 			}
@@ -137,6 +137,30 @@
 	})
 }
 
+// Guards against a limit that was lowered while an entry VM was frozen at its start, and that
+// does not hold there when the VM goes on.
+func TestLoweredLimitHoldsAfterFreezeAtStart(t *testing.T) {
+	t.Parallel()
+	tolerance := quota.Tolerance{Window: time.Second}
+	next := intent.RateLimit{PerSecond: 1, Burst: 1}
+	w := newWorld(1, 1, tolerance, map[string]intent.RateLimit{"c": {PerSecond: 20, Burst: 20}})
+	troubled(w, 0, 0)
+	v := w.vms[0]
+	w.kill(v)
+	v.frozenUntil = 5 * time.Second
+	w.start(v)
+	// A second freeze holds back the configuration of the start, but not the new one.
+	w.after(4*time.Second, func() { v.frozenUntil = 10 * time.Second })
+	w.after(4500*time.Millisecond, func() {
+		w.changeLimit("c", next)
+		w.configure(v)
+	})
+	flood(w, "c", 20, 40*time.Second)
+	w.runUntil(40 * time.Second)
+	require.NotEmpty(t, w.admitted["c"])
+	require.LessOrEqual(t, float64(w.mostInWindow("c", 0)), bound(next, tolerance))
+}
+
 // checkShares checks the sums of the shares that entry VMs use and of those in the books of
 // the holder.
 func checkShares(t *rapid.T, w *world, key quota.Key, limit, next intent.RateLimit, changeAt time.Duration) {
--- a/internal/steer/quota/world_test.go
+++ b/internal/steer/quota/world_test.go
@@ -31,7 +31,9 @@
 	eventID   int
 	vms       []*vm
 	tolerance quota.Tolerance
-	limits    map[string]intent.RateLimit
+	// limits are the configured limits by customer, in the version limitsVersion.
+	limits        map[string]intent.RateLimit
+	limitsVersion int
 	// latency returns the delay of a datagram, and false if it is lost.
 	latency func(from, to *vm) (time.Duration, bool)
 	// repeatRate is the part of the datagrams that arrive again.
@@ -74,8 +76,10 @@
 	startedAt       time.Duration
 	frozenUntil     time.Duration
 	incarnation     uint64
-	shares          *quota.Shares
-	ledger          *quota.Ledger
+	// limitsVersion is that of the limits in force.
+	limitsVersion int
+	shares        *quota.Shares
+	ledger        *quota.Ledger
 	// calling is true during a call to the store, renewAt is when the next renewal is due.
 	calling bool
 	renewAt time.Duration
@@ -162,7 +166,7 @@
 	v.up, v.startedAt, v.incarnation = true, w.now-time.Millisecond, v.incarnation+1
 	v.shares = quota.NewShares(v.name, v.incarnation, w.tolerance)
 	v.ledger = quota.NewLedger(v.name)
-	v.calling, v.triedAt, v.renewAt, v.hintedAt = false, 0, 0, 0
+	v.calling, v.triedAt, v.renewAt, v.hintedAt, v.limitsVersion = false, 0, 0, 0, 0
 	v.waiting = map[quota.RequestID]waitingRequest{}
 	w.configure(v)
 }
@@ -172,13 +176,25 @@
 	v.waiting = nil
 }
 
-// configure tells a VM the limits.
+// changeLimit changes the configured limit of a customer. VMs must be told by configure.
+func (w *world) changeLimit(customer string, limit intent.RateLimit) {
+	w.limits[customer] = limit
+	w.limitsVersion++
+}
+
+// configure tells a VM the limits. As in run/direct, a VM ignores a configuration that is
+// older than the one in force, which may come later when both waited for the end of a freeze.
 func (w *world) configure(v *vm) {
+	version := w.limitsVersion
 	limits := map[quota.Key]quota.Limit{}
 	for name, limit := range w.limits {
 		limits[quota.KeyOf(name)] = quota.EffectiveLimit(limit, w.tolerance)
 	}
 	w.do(v, func(at quota.At) {
+		if version < v.limitsVersion {
+			return
+		}
+		v.limitsVersion = version
 		w.run(v, v.shares.Reduce(quota.LimitsChanged{At: at, Limits: limits}))
 		w.run(v, v.ledger.Reduce(quota.LimitsChanged{At: at, Limits: limits}))
 	})
