Tests: no response says "not run" of a request that may have run, in any order

The random events of TestInvariantsHoldInAnyOrder have answers with 408, 421, 429 and 503 now, and attempts that end at another server.

--- a/internal/steer/direct/invariants_test.go
+++ b/internal/steer/direct/invariants_test.go
@@ -14,6 +14,7 @@
 	"github.com/greengagetally/greengagetally/internal/steer/intent"
 	"github.com/greengagetally/greengagetally/internal/value/option"
 	"github.com/greengagetally/greengagetally/internal/value/set"
+	"github.com/greengagetally/greengagetally/internal/value/status"
 )
 
 // modelRequest is what the model knows of a request.
@@ -27,9 +28,11 @@
 	lateAt time.Duration
 	// attempts counts the servers that the request may have reached. mayHaveRun is true
 	// when one of these servers may have run the request.
-	attempts     int
-	mayHaveRun   bool
-	hasResponse  bool
+	attempts    int
+	mayHaveRun  bool
+	hasResponse bool
+	// status is that of the newest response.
+	status       int
 	holding      bool
 	ended        bool
 	triedServers set.Set[string]
@@ -134,7 +137,9 @@
 		require.False(t, r.mayHaveRun, "a caller is told that a request has not run, but it may have")
 		require.Positive(t, e.RetryAfter)
 	case direct.ReturnResponse:
-		require.True(t, m.end(t, e.ID).hasResponse, "a response is returned although there is none")
+		r := m.end(t, e.ID)
+		require.True(t, r.hasResponse, "a response is returned although there is none")
+		require.False(t, !r.route.Idempotent && status.SaysNotRun(r.status), "a response says that a request has not run, but it may have")
 	case direct.Fail:
 		require.True(t, m.end(t, e.ID).mayHaveRun, "a caller is told that a request may have run, but it has not")
 	}
@@ -296,15 +301,18 @@
 				hedge := r.currentServers[false] == "" || r.currentServers[true] != "" && rapid.Bool().Draw(t, "hedge ends")
 				ev := direct.AttemptEnded{
 					At: direct.At(m.now), ID: id, Hedge: hedge, Outcome: direct.Outcome(rapid.IntRange(0, 3).Draw(t, "outcome")),
-					TimedOut: rapid.Bool().Draw(t, "timed out"), OtherInstance: false,
-					Load: option.Some(direct.Load{RunningRequests: 1, Slowdown: 1}),
+					TimedOut: rapid.Bool().Draw(t, "timed out"),
+					Load:     option.Some(direct.Load{RunningRequests: 1, Slowdown: 1}),
 				}
 				if calm && rapid.IntRange(0, 3).Draw(t, "failure") > 0 {
 					ev.Outcome = direct.Answered
 				}
 				if ev.Outcome == direct.Answered {
-					ev.Status = rapid.SampledFrom([]int{200, 404, 500, 504}).Draw(t, "status")
-					r.hasResponse = true
+					ev.Status = rapid.SampledFrom([]int{200, 404, 500, 504, 408, 421, 429, 503}).Draw(t, "status")
+					r.hasResponse, r.status = true, ev.Status
+				}
+				if ev.Outcome == direct.NotRun || ev.Outcome == direct.Unknown {
+					ev.OtherInstance = rapid.IntRange(0, 7).Draw(t, "another server") == 0
 				}
 				if !calm && ev.Outcome >= direct.NotRun && rapid.IntRange(0, 3).Draw(t, "notice") == 0 {
 					m.drawNotice(t, r.currentServers[hedge], &ev)
