wire/caller: serve no held answer that says "not run"

A caller could see, while entry VMs of two versions run (in a test): a later request with the idempotency key of one that may have run got the 408, 421, 429 or 503 that an entry VM of an earlier version holds for the key.

Change: an answer with one of these statuses counts as none; the caller gets 409, as where no answer is held. Only requests that must not be repeated have held answers.

--- a/internal/wire/caller/exchange_test.go
+++ b/internal/wire/caller/exchange_test.go
@@ -383,6 +383,35 @@
 	require.Equal(t, "from the holder", body)
 }
 
+// Guards against an answer that an entry VM of an earlier version holds, and whose status tells
+// the caller that a request which may have run has not.
+func TestHeldRefusalIsNotServed(t *testing.T) {
+	t.Parallel()
+	key := fmt.Sprintf("%d-0123456789abcdef", time.Now().Unix())
+	duplicate := func(ev event.Event) []event.Effect {
+		e, ok := ev.(event.RequestArrived)
+		if !ok {
+			return nil
+		}
+
+		return []event.Effect{event.Refuse{
+			Request: e.ID, Outcome: event.OutcomeDuplicate, Reason: event.ReasonKeyClaimed, Holder: event.Member{VM: "entry-9"},
+		}}
+	}
+	peer := &stubFetcher{}
+	e := startEntry(t, "entry-1", "a", newScriptedReducer(newConfig(), duplicate), nil, peer)
+	for status, want := range map[int]int{
+		http.StatusRequestTimeout: http.StatusConflict, http.StatusMisdirectedRequest: http.StatusConflict,
+		http.StatusTooManyRequests: http.StatusConflict, http.StatusServiceUnavailable: http.StatusConflict,
+		http.StatusInternalServerError: http.StatusInternalServerError,
+	} {
+		peer.answer = caller.Answer{Status: status}
+		resp, _, err := sendRequest(t, e, http.MethodPost, "/book", nil, "Idempotency-Key", key)
+		require.NoError(t, err)
+		require.Equal(t, want, resp.StatusCode, "held with status %d", status)
+	}
+}
+
 // Guards against ending a request with an idempotency key when its caller is gone. The
 // caller sends the request again and would then get no answer about its reservation.
 func TestKeyedRequestOutlivesItsCaller(t *testing.T) {
--- a/internal/wire/caller/refuse.go
+++ b/internal/wire/caller/refuse.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/greengagetally/greengagetally/internal/steer/event"
+	"github.com/greengagetally/greengagetally/internal/value/status"
 )
 
 // fetchAnswerTimeout bounds the time to fetch a held answer from another entry VM.
@@ -40,7 +41,8 @@
 	ctx, cancel := context.WithTimeout(ctx, fetchAnswerTimeout)
 	defer cancel()
 	answer, ok := x.fetcher.FetchAnswer(ctx, holder, x.key, x.fingerprint)
-	if !ok {
+	// An entry VM of an earlier version also holds the refusals that the reducer withholds.
+	if !ok || status.SaysNotRun(answer.Status) {
 		return false
 	}
 	answer.write(x.w)
